--- /dev/null
+++ b/crates/lockusher-drill/src/wire.rs
@@ -0,0 +1,431 @@
+//! The simulator's wire: its messages, decoded and encoded once. Wire names end here.
+
+use std::collections::BTreeMap;
+
+use lockusher::interface::*;
+use serde::{Deserialize, Serialize};
+
+#[derive(Deserialize)]
+pub struct Batch {
+    pub sim_time_us: u64,
+    pub items: Vec<Event>,
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "event_type")]
+pub enum Event {
+    #[serde(rename = "SPAWN")]
+    Spawn { mixer: String, random_seed: u64, facts: Box<Facts> },
+    #[serde(rename = "EXIT")]
+    Exit { mixer: String },
+    #[serde(rename = "CATALOG")]
+    Catalog { set_id: u64, members_list: Vec<Entry> },
+    #[serde(rename = "UPDATE")]
+    Update { mixer: String, mode: Mode, set_id: Option<u64> },
+    #[serde(rename = "KNOCK")]
+    Knock(Box<Knock>),
+    #[serde(rename = "BEGUN")]
+    Begun {},
+    #[serde(rename = "CLOSED_ATTEMPT")]
+    ClosedAttempt(ClosedAttempt),
+    #[serde(rename = "CLIENT_LEFT")]
+    ClientLeft { mixer: String, corr: String },
+    #[serde(rename = "DEADLINE_HIT")]
+    DeadlineHit { mixer: String, token: u64 },
+    #[serde(rename = "PING_RESULT")]
+    PingResult {
+        mixer: String,
+        rc: u16,
+        #[serde(default)]
+        latency_us: u64,
+        searcher: String,
+        server_stats: Option<Vec<f64>>,
+    },
+    #[serde(rename = "INBOX")]
+    Inbox {},
+}
+
+#[derive(Deserialize)]
+pub struct Entry {
+    rack_zone: Option<String>,
+    up_since_us: Option<u64>,
+    rating: Option<f64>,
+    stage_state: Stage,
+    set_no: Option<usize>,
+    searcher: String,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+enum Stage {
+    U,
+    L,
+    D,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    Changes,
+    All,
+    Remembered,
+    Refused,
+}
+
+#[derive(Deserialize)]
+pub struct Knock {
+    pub mixer: String,
+    pub corr: String,
+    pub kind: String,
+    pub whole_no: u64,
+    pub slab: i64,
+    pub estimate_us: Option<u64>,
+    pub time_left_us: u64,
+    #[serde(default)]
+    pub amount: f64,
+    #[serde(default)]
+    pub options: u64,
+    pub customer: Option<Customer>,
+}
+
+impl Knock {
+    pub fn hint(&self) -> Option<Span> {
+        let valid = self.options & 1 != 0;
+        self.estimate_us.filter(|_| valid).map(Span::from_micros)
+    }
+
+    pub fn resubmitted(&self) -> bool {
+        self.options & 2 != 0
+    }
+}
+
+/// A tenant's name; sites without tenants may write 0.
+#[derive(Deserialize)]
+#[serde(untagged)]
+pub enum Customer {
+    Name(String),
+    Number(u64),
+}
+
+#[derive(Deserialize)]
+pub struct ClosedAttempt {
+    pub mixer: String,
+    pub corr: String,
+    #[serde(default)]
+    pub terminal: bool,
+    #[serde(default)]
+    pub latency_us: u64,
+    #[serde(default)]
+    pub round_no: usize,
+    pub rc: u16,
+    pub server_stats: Option<Vec<f64>>,
+}
+
+pub fn outcome(rc: u16) -> Option<Outcome> {
+    Some(match rc {
+        200 => Outcome::Returned,
+        500 => Outcome::Error,
+        503 => Outcome::Full,
+        504 => Outcome::TimedOut,
+        502 => Outcome::NoConnection,
+        598 => Outcome::Broken,
+        499 => Outcome::Withdrawn,
+        410 => Outcome::Moot,
+        _ => return None,
+    })
+}
+
+/// An instance's settings, of which only what the module asks for is read.
+#[derive(Deserialize)]
+pub struct Facts {
+    pub balancers: usize,
+    grades: Vec<Grade>,
+    extra: Extra,
+    limits: Limits,
+    localities: Vec<String>,
+    locality: String,
+    pub membership_mode: Membership,
+    #[serde(default)]
+    pub over_share_worth: f64,
+    #[serde(default)]
+    parties: Vec<Party>,
+    prices: Prices,
+    report: Report,
+    rules: Rules,
+    pub tick_us: u64,
+}
+
+#[derive(Deserialize)]
+struct Grade {
+    name: String,
+    promise_us: u64,
+    deadline_us: u64,
+    #[serde(default)]
+    aim_stretch: f64,
+    effect: Effect,
+    dedup_window_us: Option<u64>,
+    #[serde(default)]
+    late_value: f64,
+    worth: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Effect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+#[derive(Deserialize)]
+struct Extra {
+    cells: usize,
+    in_a_row: usize,
+    #[serde(default)]
+    class_partial: Vec<f64>,
+    #[serde(default)]
+    fetch_parts: Vec<usize>,
+    least_share: Vec<f64>,
+    need_by_class: Vec<f64>,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    max_attempts: usize,
+    #[serde(default)]
+    max_retry_after_us: u64,
+    #[serde(default)]
+    may_cancel: bool,
+    #[serde(default)]
+    parallel_tries: bool,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Membership {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize)]
+struct Party {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Prices {
+    #[serde(default)]
+    cross_zone: f64,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    #[serde(default)]
+    columns: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    ask_every_us: Option<u64>,
+    cold_from: f64,
+    ramp_time_us: u64,
+    fall_multiple: f64,
+    tip_after_us: u64,
+    spare_attempts: Option<f64>,
+    extra_ratio: Option<f64>,
+    look_back_us: Option<u64>,
+}
+
+impl Facts {
+    pub fn op_types(&self) -> Result<Vec<OpType>, String> {
+        let of = |list: &[f64], i: usize, what: &str| {
+            list.get(i).copied().ok_or_else(|| format!("facts.extra.{what} has no entry for class {i}"))
+        };
+        self.grades
+            .iter()
+            .enumerate()
+            .map(|(i, g)| {
+                let repeat = match (&g.effect, g.dedup_window_us) {
+                    (Effect::Safe, _) => Repeat::Retriable,
+                    (Effect::Unsafe, _) => Repeat::NonRetriable,
+                    (Effect::Keyed, Some(us)) => Repeat::Deduped(Span::from_micros(us)),
+                    (Effect::Keyed, None) => {
+                        return Err(format!("class {} is keyed but has no dedup_window_us", g.name));
+                    }
+                };
+                Ok(OpType {
+                    latency_budget: Span::from_micros(g.promise_us),
+                    budget_stretch: g.aim_stretch,
+                    route_timeout: Span::from_micros(g.deadline_us),
+                    importance: g.worth,
+                    late_share: g.late_value,
+                    repeat,
+                    need: of(&self.extra.need_by_class, i, "need_by_class")?,
+                    least_share: of(&self.extra.least_share, i, "least_share")?,
+                    partial_pays: self.extra.class_partial.get(i).copied().unwrap_or(0.0),
+                    second_step: self.extra.fetch_parts.get(i).copied().unwrap_or(0),
+                })
+            })
+            .collect()
+    }
+
+    pub fn tenants(&self) -> Vec<Tenant> {
+        let tenant = |p: &Party| Tenant { quota_per_s: p.quota_per_s };
+        self.parties.iter().map(tenant).collect()
+    }
+
+    pub fn layout(&self) -> Layout {
+        Layout { cells: self.extra.cells, in_a_row: self.extra.in_a_row }
+    }
+
+    pub fn cold_rule(&self) -> ColdRule {
+        ColdRule {
+            starts_at: self.rules.cold_from,
+            ramp: Span::from_micros(self.rules.ramp_time_us),
+            fall_multiple: self.rules.fall_multiple,
+            tip_after: Span::from_micros(self.rules.tip_after_us),
+        }
+    }
+
+    pub fn send_budget(&self) -> Option<SendBudget> {
+        Some(SendBudget {
+            free: self.rules.spare_attempts.unwrap_or(0.0),
+            share: self.rules.extra_ratio.unwrap_or(0.0),
+            window: Span::from_micros(self.rules.look_back_us?),
+        })
+    }
+
+    pub fn part_limits(&self) -> PartLimits {
+        PartLimits {
+            most_sends: self.limits.max_attempts,
+            second_copies: self.limits.parallel_tries,
+            may_withdraw: self.limits.may_cancel,
+        }
+    }
+
+    pub fn ask_every(&self) -> Option<Span> {
+        let us = self.rules.ask_every_us?;
+        (self.membership_mode == Membership::OnRequest).then(|| Span::from_micros(us))
+    }
+
+    /// The longest time to come back that a client keeps to; none if clients are not told one.
+    pub fn longest_come_back(&self) -> Option<Span> {
+        let us = self.limits.max_retry_after_us;
+        self.limits.retry_after.then(|| Span::from_micros(us))
+    }
+
+    pub fn probes(&self) -> bool {
+        self.limits.probes
+    }
+
+    pub fn cross_zone_price(&self) -> f64 {
+        self.prices.cross_zone
+    }
+
+    pub fn home(&self) -> Option<Zone> {
+        self.zone(&self.locality)
+    }
+
+    pub fn names(&self) -> Names {
+        let op_types = self.grades.iter().map(|g| g.name.clone()).enumerate();
+        let tenants = self.parties.iter().map(|p| p.name.clone()).enumerate();
+        let zones = self.localities.iter().cloned().enumerate();
+        Names {
+            op_types: op_types.map(|(i, n)| (n, OpTypeId(i))).collect(),
+            tenants: tenants.map(|(i, n)| (n, TenantId(i))).collect(),
+            zones: zones.map(|(i, n)| (n, Zone(i))).collect(),
+            columns: self.report.columns.clone(),
+        }
+    }
+
+    fn zone(&self, name: &str) -> Option<Zone> {
+        self.localities.iter().position(|z| z == name).map(Zone)
+    }
+}
+
+/// The names that the settings give to what the module knows by number.
+pub struct Names {
+    pub op_types: BTreeMap<String, OpTypeId>,
+    pub tenants: BTreeMap<String, TenantId>,
+    pub zones: BTreeMap<String, Zone>,
+    pub columns: Vec<String>,
+}
+
+impl Names {
+    pub fn listed(&self, entry: &Entry) -> Listed {
+        let zone = entry.rack_zone.as_ref();
+        Listed {
+            id: SearcherId::new(&entry.searcher),
+            cell: Cell(entry.set_no.unwrap_or(0)),
+            zone: zone.and_then(|z| self.zones.get(z).copied()),
+            state: match entry.stage_state {
+                Stage::U => SearcherState::Up,
+                Stage::L => SearcherState::Draining,
+                Stage::D => SearcherState::Gone,
+            },
+            up_since: entry.up_since_us.filter(|&us| us > 0).map(Time::from_micros),
+            rating: entry.rating.unwrap_or(1.0),
+        }
+    }
+
+    pub fn report(&self, row: Option<&Vec<f64>>) -> Option<LoadReport> {
+        let mut report = LoadReport::default();
+        for (name, &value) in self.columns.iter().zip(row?) {
+            let field = match name.as_str() {
+                "busy_reqs" => &mut report.in_work,
+                "pending" => &mut report.queue,
+                "cpu_share" => &mut report.util,
+                "svc_ms" => &mut report.service_ms,
+                "served_ps" => &mut report.returned_per_s,
+                "failed_ps" => &mut report.failed_per_s,
+                _ => continue,
+            };
+            *field = Some(value);
+        }
+        Some(report)
+    }
+}
+
+#[derive(Serialize)]
+pub struct Reply<'a> {
+    pub cmds: Vec<Tagged<'a>>,
+}
+
+/// An action with the instance that takes it.
+#[derive(Serialize)]
+pub struct Tagged<'a> {
+    pub mixer: &'a str,
+    #[serde(flatten)]
+    pub action: Action,
+}
+
+#[derive(Serialize)]
+#[serde(tag = "event_type")]
+pub enum Action {
+    #[serde(rename = "RELAY")]
+    Relay { corr: String, searcher: String, limit_us: u64 },
+    #[serde(rename = "WITHDRAW")]
+    Withdraw { corr: String, round_no: usize },
+    #[serde(rename = "WRAP_UP")]
+    WrapUp { corr: String, entire: bool },
+    #[serde(rename = "REJECT")]
+    Reject {
+        corr: String,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        not_before_for_us: Option<u64>,
+    },
+    #[serde(rename = "SURRENDER")]
+    Surrender { corr: String },
+    #[serde(rename = "AFTER")]
+    After { offset_us: u64, token: u64 },
+    #[serde(rename = "STREAM_CHANGES")]
+    StreamChanges { entire: bool },
+    #[serde(rename = "FETCH")]
+    Fetch {},
+    #[serde(rename = "HEALTH_CHECK")]
+    HealthCheck { searcher: String },
+}
--- /dev/null
+++ b/crates/lockusher/src/interface.rs
@@ -0,0 +1,356 @@
+//! The plain values that the decision module is asked with and answers with. Nothing here decides.
+
+use std::collections::BTreeMap;
+use std::ops::{Add, Sub};
+use std::sync::Arc;
+
+/// A point in time, in microseconds of the host's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(u64);
+
+/// A length of time, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(u64);
+
+impl Time {
+    pub const fn from_micros(us: u64) -> Self {
+        Time(us)
+    }
+
+    /// How long ago `earlier` was; nothing if it lies ahead.
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+    pub const MAX: Span = Span(u64::MAX);
+
+    pub const fn from_micros(us: u64) -> Self {
+        Span(us)
+    }
+
+    pub const fn from_millis(ms: u64) -> Self {
+        Span(ms * 1_000)
+    }
+
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    pub fn as_secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// A negative length becomes nothing, one too long the longest span.
+    pub fn from_secs(secs: f64) -> Self {
+        Span((secs * 1e6).round() as u64)
+    }
+
+    pub fn saturating_sub(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+
+    pub fn times(self, factor: f64) -> Span {
+        Span::from_secs(self.as_secs() * factor)
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+macro_rules! name_id {
+    ($($(#[$doc:meta])* $id:ident),*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $id(Arc<str>);
+
+        impl $id {
+            pub fn new(name: &str) -> Self {
+                $id(name.into())
+            }
+
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+    )*};
+}
+
+macro_rules! number_id {
+    ($($(#[$doc:meta])* $id:ident),*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $id(pub usize);
+    )*};
+}
+
+name_id!(
+    /// A multiget's id, as the host names it.
+    MultigetId,
+    /// A part's id, as the host names it.
+    PartId,
+    /// A searcher's id, the same across its restarts.
+    SearcherId
+);
+
+number_id!(
+    /// An op type, by its place in the settings.
+    OpTypeId,
+    /// A tenant, by its place in the settings.
+    TenantId,
+    /// A zone, by its place in the settings.
+    Zone,
+    /// A shard's number.
+    Shard,
+    /// A cell: a group of searchers that begin the same shards.
+    Cell
+);
+
+/// What a repeat of a part does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// It may run again.
+    Retriable,
+    /// A repeat is dropped within this long of the first send that may have run.
+    Deduped(Span),
+    /// It must never run twice.
+    NonRetriable,
+}
+
+/// What the settings say of one op type.
+#[derive(Clone, Debug)]
+pub struct OpType {
+    pub latency_budget: Span,
+    /// The latency budget grows by this multiple of the multiget's own work, up to the route timeout.
+    pub budget_stretch: f64,
+    pub route_timeout: Span,
+    pub importance: f64,
+    /// Share of the importance that an answer past the latency budget earns.
+    pub late_share: f64,
+    pub repeat: Repeat,
+    /// Share of the first step's weight that makes a whole answer.
+    pub need: f64,
+    /// Least share of the weight for any answer.
+    pub least_share: f64,
+    /// What an answer that is not whole earns, times its share of `need`.
+    pub partial_pays: f64,
+    /// Parts of the second step; none means there is no second step.
+    pub second_step: usize,
+}
+
+/// A tenant's share.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Multigets a second within its share, over all mixers.
+    pub quota_per_s: f64,
+}
+
+/// Which searchers hold a shard: those of cell (shard + j) mod `cells` for j below `in_a_row`.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    pub cells: usize,
+    pub in_a_row: usize,
+}
+
+/// The figures of the rule on cold searchers.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    pub starts_at: f64,
+    pub ramp: Span,
+    pub fall_multiple: f64,
+    pub tip_after: Span,
+}
+
+/// The budget for sends beyond each part's first, where one is stated.
+#[derive(Clone, Copy, Debug)]
+pub struct SendBudget {
+    pub free: f64,
+    pub share: f64,
+    pub window: Span,
+}
+
+/// What may be done about one part.
+#[derive(Clone, Copy, Debug)]
+pub struct PartLimits {
+    pub most_sends: usize,
+    pub second_copies: bool,
+    pub may_withdraw: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SearcherState {
+    Up,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of searchers.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub id: SearcherId,
+    pub cell: Cell,
+    pub zone: Option<Zone>,
+    pub state: SearcherState,
+    pub up_since: Option<Time>,
+    pub rating: f64,
+}
+
+/// What discovery told.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// Altered lines only.
+    Changes(Vec<Listed>),
+    /// The complete list: what it lacks has been removed.
+    All(Vec<Listed>),
+    /// The complete list as it was last held, perhaps out of date.
+    Remembered(Vec<Listed>),
+    /// A call failed or the subscription broke.
+    Refused,
+}
+
+/// What a searcher reports of itself; absent where a site does not have it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    pub in_work: Option<f64>,
+    pub queue: Option<f64>,
+    pub util: Option<f64>,
+    pub service_ms: Option<f64>,
+    pub returned_per_s: Option<f64>,
+    pub failed_per_s: Option<f64>,
+}
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Returned,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Withdrawn,
+    /// Not transmitted: the part was done, out of time or out of sends.
+    Moot,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the part never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
+    }
+}
+
+/// One send of a part.
+#[derive(Clone, Debug)]
+pub struct Send {
+    pub to: SearcherId,
+    pub at: Time,
+    pub outcome: Option<Outcome>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub id: PartId,
+    pub shard: Shard,
+    pub weight: f64,
+    /// Rough expected work, where the host is told it.
+    pub hint: Option<Span>,
+    /// Whether it belongs to the second step.
+    pub second_step: bool,
+    pub sends: Vec<Send>,
+    /// Its answer is in.
+    pub returned: bool,
+    /// Nothing more comes of it.
+    pub closed: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Multiget {
+    pub id: MultigetId,
+    /// The host's own number for it, which grows with each one taken.
+    pub number: u64,
+    pub op_type: OpTypeId,
+    pub tenant: Option<TenantId>,
+    /// The client marked this as a try after its first.
+    pub resubmitted: bool,
+    /// Rough expected work of all parts, where the host is told it.
+    pub hint: Option<Span>,
+    pub arrived: Time,
+    /// The client's time for this try is up.
+    pub ends: Time,
+    /// When to ask about it again, as the module last said.
+    pub due: Time,
+    pub parts: Vec<Part>,
+    /// The first answer was given; whether it was whole.
+    pub first_answer: Option<bool>,
+    /// It has its final answer; some of its sends may still be out.
+    pub ended: bool,
+}
+
+/// Sends for a part that the module orders.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// Place of the part in the multiget.
+    pub part: usize,
+    pub to: SearcherId,
+    pub timeout: Span,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    Answered { whole: bool },
+    PushedBack { come_back_in: Option<Span> },
+    Failed,
+}
+
+/// What to do about one multiget now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// Sends to cease waiting for, before the orders: place of the part and of the send.
+    pub withdraw: Vec<(usize, usize)>,
+    pub orders: Vec<Order>,
+    pub reply: Option<Reply>,
+    /// Ask about it again after this, whatever happens before.
+    pub again: Option<Span>,
+}
+
+/// A call on discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    Subscribe,
+    List,
+}
+
+/// How long to wait, and what is due before.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wait {
+    /// Multigets to ask about now, in this order.
+    pub turn: Vec<MultigetId>,
+    pub ask: Option<Ask>,
+    pub probe: Vec<SearcherId>,
+    /// Call again after this at the latest.
+    pub next: Option<Span>,
+}
+
+/// The multigets that the host has in hand.
+pub type InHand = BTreeMap<MultigetId, Multiget>;
--- /dev/null
+++ b/crates/lockusher/src/policy.rs
@@ -0,0 +1,821 @@
+//! Every decision of a mixer: which replica serves each part, how long to wait, when to send again, when
+//! to reply, what to push back, and when to ask discovery.
+//!
+//! How to call it: build a [`Policy`], tell it [`Policy::news`] of the searchers, then ask three things.
+//! [`Policy::place`]: where to send this multiget (or not yet, or never). [`Policy::outcome`]: what to do
+//! after this outcome. [`Policy::wait`]: how long to wait and whose turn it is. The host keeps the timers
+//! and the multigets in hand and carries out the [`Advice`]; the values are in `interface.rs`.
+//!
+//! The ordinary path is the hybrid server selector of the Pinot resiliency talk; `docs/design.md` says what
+//! was kept, what was changed and when each exception acts.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::interface::*;
+
+/// Moves an average toward a sample.
+fn blend(average: &mut f64, sample: f64, weight: f64) {
+    *average += (sample - *average) * weight;
+}
+
+/// What is known of one searcher; nothing about it is kept anywhere else.
+struct Searcher {
+    cell: Cell,
+    zone: Option<Zone>,
+    state: SearcherState,
+    listed_start: Option<Time>,
+    /// When it began to warm up, by the list or by its symptoms.
+    cold_since: Option<Time>,
+    /// This mixer's sends out at it: when each left and how heavy it is against a usual part.
+    out: Vec<(Time, f64)>,
+    /// EWMA of the number of sends out.
+    queue: f64,
+    /// EWMA of latency in seconds, as of a part of usual weight.
+    latency: Option<f64>,
+    /// EWMA of the share of sends that did not fail.
+    good: f64,
+    heard: Time,
+    last_send: Option<Time>,
+    /// Since when it has not returned anything but failures that hint at a dead process.
+    down_since: Option<Time>,
+}
+
+/// Weight of the newest sample in a searcher's averages: the design's first setting.
+const NEWEST: f64 = 1.0 / 3.0;
+
+impl Searcher {
+    fn new(now: Time, listed: &Listed) -> Self {
+        Searcher {
+            cell: listed.cell,
+            zone: listed.zone,
+            state: listed.state,
+            listed_start: listed.up_since,
+            cold_since: listed.up_since,
+            out: Vec::new(),
+            queue: 0.0,
+            latency: None,
+            good: 1.0,
+            heard: now,
+            last_send: None,
+            down_since: None,
+        }
+    }
+
+    /// The share of its capacity that it surely has: a searcher that starts cold warms up evenly.
+    fn capacity(&self, now: Time, cold: &ColdRule) -> f64 {
+        let Some(start) = self.cold_since else { return 1.0 };
+        let warmth = now.since(start).as_secs() / cold.ramp.as_secs().max(1e-6);
+        (cold.starts_at + (1.0 - cold.starts_at) * warmth).min(1.0)
+    }
+
+    /// A restart under the same id: what was learned was of another process.
+    fn restarted(&mut self, start: Time) {
+        self.cold_since = Some(start);
+        self.latency = None;
+        self.good = 1.0;
+        self.down_since = None;
+    }
+
+    fn sent(&mut self, now: Time, weight: f64) {
+        self.out.push((now, weight));
+        blend(&mut self.queue, self.out.len() as f64, NEWEST);
+        self.last_send = Some(now);
+    }
+
+    /// Feeds one outcome. A failure never makes a searcher look quicker than its peers.
+    fn ended(&mut self, now: Time, send: &Send, outcome: Outcome, elapsed: Span, peers: f64) -> Option<f64> {
+        let place = self.out.iter().position(|(at, _)| *at == send.at)?;
+        let (_, weight) = self.out.swap_remove(place);
+        blend(&mut self.queue, self.out.len() as f64, NEWEST);
+        if outcome == Outcome::Moot {
+            return None;
+        }
+        let sample = elapsed.as_secs() / weight;
+        let fed = match outcome {
+            Outcome::Returned => sample,
+            _ => sample.max(peers).max(self.latency.unwrap_or(0.0)),
+        };
+        let average = self.settled(now, peers);
+        self.latency = Some(average.map_or(fed, |a| a + (fed - a) * NEWEST));
+        self.good = self.goodness(now);
+        match outcome {
+            Outcome::Returned => blend(&mut self.good, 1.0, NEWEST),
+            Outcome::Withdrawn => {}
+            _ => blend(&mut self.good, 0.0, NEWEST),
+        }
+        self.heard = now;
+        self.vital_sign(now, outcome);
+        (outcome == Outcome::Returned).then_some(sample)
+    }
+
+    /// Guards against a process that came back cold before any list said so: silence or a broken
+    /// connection, then an answer. A mere pause is shorter than `DEAD_FOR`; after a long hang that was no
+    /// restart, it costs the searcher some traffic for one ramp.
+    fn vital_sign(&mut self, now: Time, outcome: Outcome) {
+        /// Longer than any pause or queue seen, shorter than a process needs to start.
+        const DEAD_FOR: Span = Span::from_millis(2_000);
+        match outcome {
+            Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut => {
+                self.down_since.get_or_insert(now);
+            }
+            Outcome::Returned | Outcome::Error => {
+                if let Some(since) = self.down_since.take()
+                    && now.since(since) > DEAD_FOR
+                    && self.cold_since.is_none_or(|start| start < since)
+                {
+                    self.cold_since = Some(now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// How far what was learned still counts. A replica slowed once gets few parts to correct its average,
+    /// so with nothing out and nothing heard its figures drift to its peers'.
+    fn memory(&self, now: Time) -> f64 {
+        /// A few seconds: a trial part every so often while trouble lasts, soon back after it.
+        const HALF_LIFE_S: f64 = 5.0;
+        if !self.out.is_empty() {
+            return 1.0;
+        }
+        0.5f64.powf(now.since(self.heard).as_secs() / HALF_LIFE_S)
+    }
+
+    fn settled(&self, now: Time, peers: f64) -> Option<f64> {
+        self.latency.map(|l| peers + (l - peers) * self.memory(now))
+    }
+
+    fn goodness(&self, now: Time) -> f64 {
+        1.0 + (self.good - 1.0) * self.memory(now)
+    }
+
+    /// What a part of usual weight is expected to take here, in seconds.
+    fn expected(&self, now: Time, peers: f64, cold: &ColdRule) -> f64 {
+        // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
+        let oldest = self.out.iter().map(|(at, w)| now.since(*at).as_secs() / w).fold(0.0, f64::max);
+        let learned = self.settled(now, peers).unwrap_or(peers);
+        // One that starts cold looks empty: it is expected to be slow until it has had time to warm.
+        learned.max(oldest).max(peers / self.capacity(now, cold))
+    }
+}
+
+/// Keeps a record a searcher and picks the replica of each part.
+pub struct Sender {
+    layout: Layout,
+    cold: ColdRule,
+    home: Option<Zone>,
+    cross_zone_price: f64,
+    searchers: BTreeMap<SearcherId, Searcher>,
+    /// Parts of usual weight returned of late, fading out over `FLOW_S`.
+    flow: f64,
+    flow_at: Option<Time>,
+}
+
+/// The window over which own traffic is measured: some seconds, to ride over bursts.
+const FLOW_S: f64 = 5.0;
+
+/// Where a part may go.
+enum Pick {
+    Go(SearcherId, f64),
+    /// Only cold replicas, each at its limit for now.
+    In(Span),
+    Nowhere,
+}
+
+impl Sender {
+    pub fn new(
+        layout: Layout,
+        cold: ColdRule,
+        home: Option<Zone>,
+        cross_zone_price: f64,
+        _probes: bool,
+    ) -> Self {
+        let searchers = BTreeMap::new();
+        Sender { layout, cold, home, cross_zone_price, searchers, flow: 0.0, flow_at: None }
+    }
+
+    fn news(&mut self, now: Time, listed: &[Listed], complete: bool) {
+        if complete {
+            for (id, searcher) in &mut self.searchers {
+                if !listed.iter().any(|l| l.id == *id) {
+                    searcher.state = SearcherState::Gone;
+                }
+            }
+        }
+        for line in listed {
+            let searcher = self.searchers.entry(line.id.clone()).or_insert_with(|| Searcher::new(now, line));
+            searcher.state = line.state;
+            if line.state == SearcherState::Gone {
+                continue;
+            }
+            (searcher.cell, searcher.zone) = (line.cell, line.zone);
+            if line.up_since > searcher.listed_start {
+                searcher.listed_start = line.up_since;
+                searcher.restarted(line.up_since.unwrap_or(now));
+            }
+        }
+        self.searchers.retain(|_, s| s.state != SearcherState::Gone || !s.out.is_empty());
+    }
+
+    /// The mean latency average of those heard from; with none, `start`.
+    fn peers(&self, start: f64) -> f64 {
+        let heard = self.searchers.values().filter(|s| s.state == SearcherState::Up);
+        let (sum, count) = heard.filter_map(|s| s.latency).fold((0.0, 0.0), |(s, n), l| (s + l, n + 1.0));
+        if count > 0.0 { sum / count } else { start }
+    }
+
+    fn flowed(&mut self, now: Time, weight: f64) {
+        self.flow = self.flow_now(now) + weight;
+        self.flow_at = Some(now);
+    }
+
+    fn flow_now(&self, now: Time) -> f64 {
+        self.flow_at.map_or(0.0, |at| self.flow * (-now.since(at).as_secs() / FLOW_S).exp())
+    }
+
+    /// How long after its last send a cold searcher may get its next, spread evenly over the rule's window.
+    /// What it can take is judged from what this mixer's warm searchers return: all mixers' rates add up
+    /// to at most what a warm one can do, so each may send its own rate times the rule's multiple.
+    fn cold_gap(&self, now: Time, searcher: &Searcher) -> Span {
+        /// Room for uneven parts and for rates that have just fallen.
+        const SHARE_USED: f64 = 0.6;
+        let capacity = searcher.capacity(now, &self.cold);
+        if capacity >= 1.0 {
+            return Span::ZERO;
+        }
+        let warm = |s: &&Searcher| s.state == SearcherState::Up && s.capacity(now, &self.cold) >= 1.0;
+        let warm = self.searchers.values().filter(warm).count().max(1);
+        let rate = self.flow_now(now) / FLOW_S / warm as f64;
+        let allowed = SHARE_USED * self.cold.fall_multiple * capacity * rate;
+        // A mixer that has just started knows no rate: one part a window.
+        let window = self.cold.tip_after.as_secs();
+        Span::from_secs((1.0 / allowed.max(1e-9)).min(window))
+    }
+
+    /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
+    /// in `not`, unless there is no other.
+    fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], peers: f64, rng: &mut ChaCha8Rng) -> Pick {
+        /// The design's first setting.
+        const N: i32 = 3;
+        /// How many times its price a crossing weighs on the latency: enough to break ties at equal queues.
+        const CROSSING: f64 = 10.0;
+        let Layout { cells, in_a_row } = self.layout;
+        let holds = |cell: Cell| (cell.0 + cells - shard.0 % cells) % cells < in_a_row;
+        let mut best: Option<(bool, f64, u32, &SearcherId, f64)> = None;
+        let mut soonest: Option<Span> = None;
+        for (id, s) in &self.searchers {
+            if s.state != SearcherState::Up || !holds(s.cell) {
+                continue;
+            }
+            let gap = self.cold_gap(now, s);
+            let waited = s.last_send.map_or(Span::MAX, |at| now.since(at));
+            if waited < gap {
+                let left = gap.saturating_sub(waited);
+                soonest = Some(soonest.map_or(left, |s| s.min(left)));
+                continue;
+            }
+            let expected = s.expected(now, peers, &self.cold);
+            let queue = s.out.len() as f64 + s.queue + 1.0;
+            let far = s.zone.is_some() && s.zone != self.home;
+            let crossing = if far { 1.0 + CROSSING * self.cross_zone_price } else { 1.0 };
+            // One that fails fast looks quick and empty: what counts is the time to an answer, and a part
+            // has few sends, so failures weigh twice.
+            let failing = s.goodness(now).max(0.05).powi(2);
+            let score = queue.powi(N) * expected * crossing / failing;
+            let entry = (not.contains(&id), score, rng.random::<u32>(), id, expected / failing);
+            let better = |b: &(bool, f64, u32, &SearcherId, f64)| {
+                entry.0.cmp(&b.0).then(entry.1.total_cmp(&b.1)).then(entry.2.cmp(&b.2)) == Ordering::Less
+            };
+            if best.as_ref().is_none_or(better) {
+                best = Some(entry);
+            }
+        }
+        match (best, soonest) {
+            (Some((_, _, _, id, expected)), _) => Pick::Go(id.clone(), expected),
+            (None, Some(span)) => Pick::In(span),
+            (None, None) => Pick::Nowhere,
+        }
+    }
+}
+
+/// How often further sends are made: it follows how many of the recent ones succeeded, and stays within
+/// the stated budget where there is one.
+struct Further {
+    budget: Option<SendBudget>,
+    tokens: f64,
+    /// EWMA of the share of further sends that brought their part's answer.
+    helped: f64,
+    taken: VecDeque<Time>,
+    made: VecDeque<Time>,
+}
+
+impl Further {
+    fn new(budget: Option<SendBudget>) -> Self {
+        Further { budget, tokens: 5.0, helped: 0.5, taken: VecDeque::new(), made: VecDeque::new() }
+    }
+
+    /// A multiget with so many parts was taken.
+    fn took(&mut self, now: Time, parts: usize) {
+        /// Even when none helps, a few are made, to learn when they help again.
+        const LEAST: f64 = 0.03;
+        /// A burst of failures, such as one searcher's death, is met at once.
+        const MOST_SAVED: f64 = 20.0;
+        self.tokens = (self.tokens + parts as f64 * (LEAST + self.helped)).min(MOST_SAVED);
+        if self.budget.is_some() {
+            self.taken.extend(std::iter::repeat_n(now, parts + 1));
+        }
+    }
+
+    fn allowed(&mut self, now: Time) -> bool {
+        if let Some(SendBudget { free, share, window }) = self.budget {
+            let recent = |times: &mut VecDeque<Time>| {
+                while times.front().is_some_and(|&at| now.since(at) >= window) {
+                    times.pop_front();
+                }
+                times.len() as f64
+            };
+            if recent(&mut self.made) + 1.0 > free + share * recent(&mut self.taken) {
+                return false;
+            }
+        }
+        self.tokens >= 1.0
+    }
+
+    fn made(&mut self, now: Time) {
+        self.tokens -= 1.0;
+        if self.budget.is_some() {
+            self.made.push_back(now);
+        }
+    }
+
+    fn ended(&mut self, brought_answer: bool) {
+        /// About the last ten.
+        blend(&mut self.helped, f64::from(brought_answer), 0.1);
+    }
+}
+
+/// When to ask discovery, on sites where it must be asked.
+struct Asking {
+    every: Option<Span>,
+    next: Option<Time>,
+    failures: i32,
+}
+
+impl Asking {
+    fn due(&mut self, now: Time) -> Option<Ask> {
+        self.next.filter(|&at| at <= now)?;
+        self.next = None;
+        Some(Ask::Subscribe)
+    }
+
+    /// Asks again with spread and back-off, yet far within the time after which silence counts as told.
+    fn refused(&mut self, now: Time, rng: &mut ChaCha8Rng) {
+        const FIRST_S: f64 = 0.4;
+        let Some(every) = self.every else { return };
+        let longest = every.as_secs() / 4.0;
+        let back_off = (FIRST_S * 2f64.powi(self.failures)).min(longest);
+        self.failures += 1;
+        self.next = Some(now + Span::from_secs(back_off * rng.random_range(0.5..1.5)));
+    }
+}
+
+/// What parts of one op type and step usually take, so that unlike work can share one latency average.
+#[derive(Clone, Copy, Default)]
+struct Usual {
+    count: f64,
+    latency: f64,
+    hint: f64,
+}
+
+/// How parts of usual weight spread around their mean, to tell a late one.
+#[derive(Clone, Copy, Default)]
+struct Spread {
+    mean: f64,
+    deviation: f64,
+    count: f64,
+}
+
+/// A tenant's room within its share.
+struct Quota {
+    per_s: f64,
+    tokens: f64,
+    at: Time,
+}
+
+pub struct Policy {
+    tick: Span,
+    rng: ChaCha8Rng,
+    op_types: Vec<OpType>,
+    usual: Vec<[Usual; 2]>,
+    all: Usual,
+    spread: Spread,
+    /// The longest time a client of each op type has had: its first try's.
+    first_try: Vec<Span>,
+    /// Importance asked for by unit of work, on average.
+    density: f64,
+    sender: Sender,
+    further: Further,
+    limits: PartLimits,
+    quotas: Vec<Quota>,
+    over_share: f64,
+    longest_come_back: Option<Span>,
+    asking: Asking,
+}
+
+impl Policy {
+    pub fn new(_now: Time, seed: u64, tick: Span, op_types: Vec<OpType>, sender: Sender) -> Self {
+        let kinds = op_types.len();
+        Policy {
+            tick,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            op_types,
+            usual: vec![Default::default(); kinds],
+            all: Usual::default(),
+            spread: Spread::default(),
+            first_try: vec![Span::ZERO; kinds],
+            density: 0.0,
+            sender,
+            further: Further::new(None),
+            limits: PartLimits { most_sends: 1, second_copies: false, may_withdraw: false },
+            quotas: Vec::new(),
+            over_share: 1.0,
+            longest_come_back: None,
+            asking: Asking { every: None, next: None, failures: 0 },
+        }
+    }
+
+    pub fn with_limits(mut self, limits: PartLimits, budget: Option<SendBudget>) -> Self {
+        self.limits = limits;
+        self.further = Further::new(budget);
+        self
+    }
+
+    pub fn with_tenants(mut self, now: Time, tenants: &[Tenant], over_share: f64, mixers: usize) -> Self {
+        let per_s = |t: &Tenant| t.quota_per_s / mixers.max(1) as f64;
+        self.quotas = tenants.iter().map(|t| Quota { per_s: per_s(t), tokens: per_s(t), at: now }).collect();
+        self.over_share = over_share;
+        self
+    }
+
+    pub fn with_come_back(mut self, longest: Option<Span>) -> Self {
+        self.longest_come_back = longest;
+        self
+    }
+
+    /// Where the list must be asked for, it is asked for at once: a mixer that starts has an old one.
+    pub fn with_asking(mut self, now: Time, every: Option<Span>) -> Self {
+        self.asking.every = every;
+        self.asking.next = every.map(|_| now);
+        self
+    }
+
+    /// Discovery told something.
+    pub fn news(&mut self, now: Time, news: News) {
+        match news {
+            News::Changes(list) => self.sender.news(now, &list, false),
+            News::All(list) | News::Remembered(list) => self.sender.news(now, &list, true),
+            News::Refused => return self.asking.refused(now, &mut self.rng),
+        }
+        self.asking.failures = 0;
+    }
+
+    /// A probe ended. The module asks for none yet.
+    pub fn probed(&mut self, _: Time, _: &SearcherId, _: Outcome, _: Span, _: Option<LoadReport>) {}
+
+    /// Whose turn it is, in what order, and how long to wait for the next.
+    pub fn wait(&mut self, now: Time, in_hand: &InHand) -> Wait {
+        let open = || in_hand.values().filter(|m| !m.ended);
+        let mut turn: Vec<&Multiget> = open().filter(|m| m.due <= now).collect();
+        turn.sort_by(|a, b| self.worth(b).total_cmp(&self.worth(a)).then(a.number.cmp(&b.number)));
+        let turn = turn.into_iter().map(|m| m.id.clone()).collect();
+        let ask = self.asking.due(now);
+        let next = open().map(|m| m.due).filter(|&due| due > now).chain(self.asking.next).min();
+        Wait { turn, ask, probe: Vec::new(), next: next.map(|at| at.since(now)) }
+    }
+
+    /// Where to send this multiget, or not yet, or never.
+    pub fn place(&mut self, now: Time, mg: &Multiget) -> Advice {
+        if mg.ended {
+            return Advice::default();
+        }
+        let fresh = mg.parts.iter().all(|p| p.sends.is_empty());
+        if fresh && mg.arrived == now {
+            self.take(now, mg);
+        }
+        if let Some(reply) = self.reply(now, mg) {
+            return Advice { reply: Some(reply), ..Advice::default() };
+        }
+        if fresh && self.hopeless(now, mg) {
+            return Advice { reply: Some(self.give_up(now, mg)), ..Advice::default() };
+        }
+        self.send_parts(now, mg)
+    }
+
+    /// What to do after this outcome of a send; the host has noted it in the multiget.
+    pub fn outcome(
+        &mut self,
+        now: Time,
+        mg: &Multiget,
+        part: usize,
+        nth: usize,
+        elapsed: Span,
+        _report: Option<LoadReport>,
+    ) -> Advice {
+        let (op, p) = (mg.op_type, &mg.parts[part]);
+        let send = &p.sends[nth];
+        let outcome = send.outcome.unwrap_or(Outcome::Moot);
+        let peers = self.peers(op);
+        if let Some(searcher) = self.sender.searchers.get_mut(&send.to)
+            && let Some(sample) = searcher.ended(now, send, outcome, elapsed, peers)
+        {
+            let weight = self.weight(op, p);
+            self.learn(op, p, elapsed, sample);
+            self.sender.flowed(now, weight);
+        }
+        if nth > 0 && outcome != Outcome::Moot {
+            let first = p.sends.iter().filter(|s| s.outcome == Some(Outcome::Returned)).count() == 1;
+            self.further.ended(outcome == Outcome::Returned && first);
+        }
+        self.place(now, mg)
+    }
+
+    fn op(&self, mg: &Multiget) -> &OpType {
+        &self.op_types[mg.op_type.0]
+    }
+
+    /// The mean latency average of all searchers heard from, or half the latency budget.
+    fn peers(&self, op: OpTypeId) -> f64 {
+        self.sender.peers(self.op_types[op.0].latency_budget.as_secs() / 2.0)
+    }
+
+    /// A part's expected work against that of a usual part.
+    fn weight(&self, op: OpTypeId, part: &Part) -> f64 {
+        let usual = &self.usual[op.0][usize::from(part.second_step)];
+        let by_kind = if usual.count > 0.0 { usual.latency / self.all.latency } else { 1.0 };
+        let by_hint = match part.hint {
+            Some(hint) if usual.hint > 0.0 => hint.as_secs() / usual.hint,
+            _ => 1.0,
+        };
+        // Hints are rough and waiting does not grow with work: no more than a few times either way.
+        (by_kind * by_hint).clamp(0.2, 8.0)
+    }
+
+    fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
+        /// Long enough to hold through one searcher's trouble, short enough to follow a day.
+        const SAMPLES: f64 = 100.0;
+        let step = |count: &mut f64| {
+            *count = (*count + 1.0).min(SAMPLES);
+            1.0 / *count
+        };
+        let usual = &mut self.usual[op.0][usize::from(part.second_step)];
+        let by = step(&mut usual.count);
+        blend(&mut usual.latency, elapsed.as_secs(), by);
+        blend(&mut usual.hint, part.hint.map_or(0.0, Span::as_secs), by);
+        let by = step(&mut self.all.count);
+        blend(&mut self.all.latency, elapsed.as_secs(), by);
+        let by = step(&mut self.spread.count);
+        let off = (sample - self.spread.mean).abs();
+        blend(&mut self.spread.mean, sample, by);
+        if self.spread.count > 1.0 {
+            blend(&mut self.spread.deviation, off, by);
+        }
+    }
+
+    /// Notes a multiget that has just been taken.
+    fn take(&mut self, now: Time, mg: &Multiget) {
+        self.further.took(now, mg.parts.len());
+        let longest = &mut self.first_try[mg.op_type.0];
+        *longest = (*longest).max(mg.ends.since(mg.arrived));
+        let worth = self.worth(mg);
+        let by = if self.density > 0.0 { 0.02 } else { 1.0 };
+        blend(&mut self.density, worth, by);
+        if let Some(quota) = mg.tenant.and_then(|t| self.quotas.get_mut(t.0)) {
+            let gained = now.since(quota.at).as_secs() * quota.per_s;
+            quota.tokens = (quota.tokens + gained).min(quota.per_s) - 1.0;
+            quota.tokens = quota.tokens.max(-quota.per_s);
+            quota.at = now;
+        }
+    }
+
+    /// Importance by unit of work; what exceeds its tenant's share is worth little.
+    fn worth(&self, mg: &Multiget) -> f64 {
+        let work: f64 = mg.parts.iter().map(|p| self.weight(mg.op_type, p)).sum();
+        let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
+        let share = if quota.is_some_and(|q| q.tokens < 0.0) { self.over_share } else { 1.0 };
+        self.op(mg).importance * share / work.max(0.1)
+    }
+
+    /// Time for the reply to reach the client: what comes in is handled once a tick, and a hop follows.
+    fn margin(&self) -> Span {
+        self.tick.times(3.0) + Span::from_millis(5)
+    }
+
+    /// When the client sees its latency budget pass. A later try of a client that got less time than first
+    /// tries get tells how long ago that one began.
+    fn budget_end(&self, mg: &Multiget) -> Time {
+        let op = self.op(mg);
+        let stretch = mg.hint.map_or(Span::ZERO, |h| h.times(op.budget_stretch));
+        let budget = (op.latency_budget + stretch).min(op.route_timeout);
+        let given = mg.ends.since(mg.arrived);
+        let first = self.first_try[mg.op_type.0];
+        let shorter = given + self.margin() < first;
+        let gone = if shorter { op.route_timeout.saturating_sub(given) } else { Span::ZERO };
+        (mg.arrived + budget - gone).min(mg.ends) - self.margin()
+    }
+
+    /// After this an answer earns nothing.
+    fn useful_end(&self, mg: &Multiget) -> Time {
+        if self.op(mg).late_share > 0.0 { mg.ends - self.margin() } else { self.budget_end(mg) }
+    }
+
+    /// When an answer that is not whole is given rather than waited on.
+    fn cut(&self, mg: &Multiget) -> Time {
+        let op = self.op(mg);
+        let end = self.budget_end(mg);
+        if op.second_step == 0 || mg.first_answer.is_some() {
+            return end;
+        }
+        /// The slowest of a few parts takes about this many times the mean.
+        const SLOWEST_OF_FEW: f64 = 2.5;
+        let usual = &self.usual[mg.op_type.0][1];
+        let takes = if usual.count > 0.0 { usual.latency } else { op.latency_budget.as_secs() / 8.0 };
+        end - Span::from_secs(takes * SLOWEST_OF_FEW).min(op.latency_budget.times(0.5))
+    }
+
+    /// Parts of the step that is on.
+    fn step(mg: &Multiget) -> impl Iterator<Item = (usize, &Part)> {
+        let second = mg.first_answer.is_some();
+        mg.parts.iter().enumerate().filter(move |(_, p)| p.second_step == second)
+    }
+
+    /// The final answer, if it is time for one.
+    fn reply(&self, now: Time, mg: &Multiget) -> Option<Reply> {
+        /// Sums of weights may come up a little short.
+        const SHORT: f64 = 1e-6;
+        let op = self.op(mg);
+        let first = mg.first_answer;
+        if Self::step(mg).next().is_none() {
+            return (now >= self.useful_end(mg)).then(|| self.give_up(now, mg));
+        }
+        let partial = op.least_share < op.need;
+        let (mut have, mut may) = (0.0, 0.0);
+        let mut all = true;
+        for (_, p) in Self::step(mg) {
+            let open =
+                !p.closed && (self.may_send(now, mg, p) || p.sends.iter().any(|s| s.outcome.is_none()));
+            have += if p.returned { p.weight } else { 0.0 };
+            may += if p.returned || open { p.weight } else { 0.0 };
+            all &= p.returned;
+        }
+        let whole = all || (first.is_none() && have + SHORT >= op.need);
+        if whole {
+            return Some(Reply::Answered { whole: first.unwrap_or(true) });
+        }
+        let least = match first {
+            Some(_) if !partial => 1.0,
+            _ => op.least_share,
+        };
+        let enough = partial && have > 0.0 && have + SHORT >= least;
+        if enough && (now >= self.cut(mg) || may <= have) {
+            return Some(Reply::Answered { whole: false });
+        }
+        let lost = may + SHORT < least;
+        (lost || now >= self.useful_end(mg)).then(|| self.give_up(now, mg))
+    }
+
+    /// Pushes back where a new try is surely harmless, with a time to come back; else it fails.
+    fn give_up(&self, _now: Time, mg: &Multiget) -> Reply {
+        let never_ran = |s: &Send| s.outcome.is_some_and(Outcome::never_ran);
+        let clean = mg.parts.iter().flat_map(|p| &p.sends).all(never_ran);
+        if self.op(mg).repeat != Repeat::Retriable && !clean {
+            return Reply::Failed;
+        }
+        // By then about one more round of work has been done.
+        let round = Span::from_secs(self.peers(mg.op_type) * 2.0);
+        Reply::PushedBack { come_back_in: self.longest_come_back.map(|longest| round.min(longest)) }
+    }
+
+    /// Whether the rules allow another send of this part.
+    fn may_send(&self, now: Time, mg: &Multiget, part: &Part) -> bool {
+        if part.returned || part.closed || part.sends.len() >= self.limits.most_sends {
+            return false;
+        }
+        let never_ran = |s: &&Send| s.outcome.is_some_and(Outcome::never_ran);
+        let Some(ran) = part.sends.iter().find(|s| !never_ran(s)) else { return true };
+        match self.op(mg).repeat {
+            Repeat::Retriable => true,
+            Repeat::Deduped(window) => now.since(ran.at) + self.margin() < window,
+            Repeat::NonRetriable => false,
+        }
+    }
+
+    /// Under overload, what cannot be answered in time is pushed back before work is wasted on it, the
+    /// least worth for its work first.
+    fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
+        let left = self.useful_end(mg).since(now).as_secs();
+        let peers = self.peers(mg.op_type);
+        let rank = (self.worth(mg) / self.density.max(1e-9)).powf(0.5).clamp(0.5, 1.2);
+        let mut slowest: f64 = 0.0;
+        for (_, p) in Self::step(mg) {
+            if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
+                let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
+                let takes = expected * self.weight(mg.op_type, p);
+                slowest = slowest.max(if idle { 0.0 } else { takes });
+            }
+        }
+        slowest * 1.2 > left * rank
+    }
+
+    /// How late a part of usual weight is when it is worth another send.
+    fn patience(&self, peers: f64) -> f64 {
+        /// As for a retransmission: the mean and some deviations. More where the first send must be
+        /// given up for the second.
+        let deviations = if self.limits.second_copies { 4.0 } else { 6.0 };
+        let Spread { mean, deviation, count } = self.spread;
+        if count < 10.0 { peers * 3.0 } else { mean + deviations * deviation }
+    }
+
+    fn send_parts(&mut self, now: Time, mg: &Multiget) -> Advice {
+        let mut advice = Advice::default();
+        let op = mg.op_type;
+        let peers = self.peers(op);
+        let end = self.useful_end(mg);
+        let left = end.since(now);
+        let mut wake = if now < self.cut(mg) { self.cut(mg) } else { end };
+        // All parts late, each at its searcher: it is this multiget that is heavy, or everybody is slow.
+        // Another send would only add to that.
+        let age = |p: &Part| {
+            let taken = p.sends.last().map_or(0.0, |s| now.since(s.at).as_secs());
+            if p.returned { 0.0 } else { taken / self.weight(op, p) }
+        };
+        let heavy = Self::step(mg).map(|(_, p)| age(p)).fold(f64::MAX, f64::min) / peers;
+        let patience = self.patience(peers) * heavy.max(1.0);
+        let mut turn: Vec<(usize, &Part)> =
+            Self::step(mg).filter(|(_, p)| !p.returned && !p.closed).collect();
+        turn.sort_by(|a, b| self.weight(op, b.1).total_cmp(&self.weight(op, a.1)).then(a.0.cmp(&b.0)));
+        for (place, p) in turn {
+            let weight = self.weight(op, p);
+            let open: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
+            if let Some(&last) = open.last() {
+                let late = p.sends[last].at + Span::from_secs(patience * weight).max(self.tick);
+                if late > now {
+                    wake = wake.min(late);
+                    continue;
+                }
+            }
+            if !self.may_send(now, mg, p) || left < Span::from_secs(peers * weight * 0.5) {
+                continue;
+            }
+            let further = !p.sends.is_empty();
+            if further && !self.further.allowed(now) {
+                wake = wake.min(now + Span::from_secs(peers * 0.5).max(self.tick));
+                continue;
+            }
+            let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
+            let pick = self.sender.pick(now, p.shard, &tried, peers, &mut self.rng);
+            let to = match pick {
+                Pick::Go(to, _) => to,
+                Pick::In(span) => {
+                    wake = wake.min(now + span.max(self.tick));
+                    continue;
+                }
+                Pick::Nowhere => continue,
+            };
+            if !open.is_empty() {
+                if tried.contains(&&to) {
+                    continue;
+                }
+                if !self.limits.second_copies {
+                    if self.limits.may_withdraw {
+                        advice.withdraw.extend(open.iter().map(|&nth| (place, nth)));
+                    }
+                    continue;
+                }
+            } else if let Some(failed) = p.sends.iter().rev().find(|s| s.to == to) {
+                // Its only replicas have failed it: not again before they have had some time.
+                let again = failed.at + Span::from_secs(peers * p.sends.len() as f64);
+                if again > now {
+                    wake = wake.min(again.max(now + self.tick));
+                    continue;
+                }
+            }
+            if further {
+                self.further.made(now);
+            }
+            if let Some(searcher) = self.sender.searchers.get_mut(&to) {
+                searcher.sent(now, weight);
+            }
+            let late = Span::from_secs(patience * weight);
+            let alone = !self.limits.second_copies && !self.limits.may_withdraw;
+            let timeout = if alone { late.min(left) } else { left };
+            wake = wake.min(now + late.max(self.tick));
+            advice.orders.push(Order { part: place, to, timeout });
+        }
+        advice.again = Some(wake.since(now).max(self.tick));
+        advice
+    }
+}
