--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -509,7 +509,7 @@
         if let Some(reply) = self.reply(now, mg) {
             return Advice { reply: Some(reply), ..Advice::default() };
         }
-        if fresh && self.hopeless(now, mg) {
+        if false && fresh && self.hopeless(now, mg) {
             return Advice { reply: Some(self.give_up(now, mg)), ..Advice::default() };
         }
         self.send_parts(now, mg)
