Gate by the slowest needed part; importance by work where the site counts so

Cause: the gate asked for all parts in time even where an answer may be partial, and ranked a multiget by importance / work on a site that pays by work.

--- a/crates/lockusher-drill/src/mixer.rs
+++ b/crates/lockusher-drill/src/mixer.rs
@@ -39,6 +39,7 @@
         let policy = Policy::new(now, seed, tick, op_types, sender)
             .with_limits(facts.part_limits(), facts.send_budget())
             .with_tenants(now, &facts.tenants(), facts.over_share_worth, facts.balancers)
+            .with_importance(facts.by_work())
             .with_come_back(facts.longest_come_back())
             .with_asking(now, facts.ask_every());
         Ok(Mixer {
--- a/crates/lockusher-drill/src/wire.rs
+++ b/crates/lockusher-drill/src/wire.rs
@@ -152,6 +152,16 @@
     report: Report,
     rules: Rules,
     pub tick_us: u64,
+    #[serde(default)]
+    worth_by: WorthBy,
+}
+
+#[derive(Deserialize, Default, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum WorthBy {
+    #[default]
+    Request,
+    Work,
 }
 
 #[derive(Deserialize)]
@@ -318,6 +328,10 @@
         self.limits.retry_after.then(|| Span::from_micros(us))
     }
 
+    pub fn by_work(&self) -> bool {
+        self.worth_by == WorthBy::Work
+    }
+
     pub fn probes(&self) -> bool {
         self.limits.probes
     }
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -423,9 +423,16 @@
     quotas: Vec<Quota>,
     over_share: f64,
     longest_come_back: Option<Span>,
+    /// Importance is counted by unit of work, not by multiget.
+    by_work: bool,
     asking: Asking,
 }
 
+const RANKP: f64 = 0.5;
+const RLO: f64 = 0.5;
+const RHI: f64 = 1.2;
+const GF: f64 = 1.2;
+
 impl Policy {
     pub fn new(_now: Time, seed: u64, tick: Span, op_types: Vec<OpType>, sender: Sender) -> Self {
         let kinds = op_types.len();
@@ -444,6 +451,7 @@
             quotas: Vec::new(),
             over_share: 1.0,
             longest_come_back: None,
+            by_work: false,
             asking: Asking { every: None, next: None, failures: 0 },
         }
     }
@@ -461,6 +469,11 @@
         self
     }
 
+    pub fn with_importance(mut self, by_work: bool) -> Self {
+        self.by_work = by_work;
+        self
+    }
+
     pub fn with_come_back(mut self, longest: Option<Span>) -> Self {
         self.longest_come_back = longest;
         self
@@ -509,7 +522,7 @@
         if let Some(reply) = self.reply(now, mg) {
             return Advice { reply: Some(reply), ..Advice::default() };
         }
-        if false && fresh && self.hopeless(now, mg) {
+        if fresh && self.hopeless(now, mg) {
             return Advice { reply: Some(self.give_up(now, mg)), ..Advice::default() };
         }
         self.send_parts(now, mg)
@@ -603,7 +616,8 @@
 
     /// Importance by unit of work; what exceeds its tenant's share is worth little.
     fn worth(&self, mg: &Multiget) -> f64 {
-        let work: f64 = mg.parts.iter().map(|p| self.weight(mg.op_type, p)).sum();
+        let parts = mg.parts.iter().map(|p| self.weight(mg.op_type, p));
+        let work: f64 = if self.by_work { 1.0 } else { parts.sum() };
         let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
         let share = if quota.is_some_and(|q| q.tokens < 0.0) { self.over_share } else { 1.0 };
         self.op(mg).importance * share / work.max(0.1)
@@ -714,20 +728,28 @@
     }
 
     /// Under overload, what cannot be answered in time is pushed back before work is wasted on it, the
-    /// least worth for its work first.
+    /// least worth for its work first. A multiget takes as long as the slowest part that it needs; a
+    /// replica with nothing of ours out is always worth a try, so that stale averages are found out.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
-        let left = self.useful_end(mg).since(now).as_secs();
+        let left = self.budget_end(mg).since(now).as_secs();
         let peers = self.peers(mg.op_type);
-        let rank = (self.worth(mg) / self.density.max(1e-9)).powf(0.5).clamp(0.5, 1.2);
-        let mut slowest: f64 = 0.0;
+        let rank = (self.worth(mg) / self.density.max(1e-9)).powf(RANKP).clamp(RLO, RHI);
+        let mut parts = Vec::new();
         for (_, p) in Self::step(mg) {
             if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
                 let takes = expected * self.weight(mg.op_type, p);
-                slowest = slowest.max(if idle { 0.0 } else { takes });
+                parts.push((if idle { 0.0 } else { takes }, p.weight));
             }
         }
-        slowest * 1.2 > left * rank
+        parts.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut have = 0.0;
+        let needed = self.op(mg).least_share.min(self.op(mg).need) - 1e-6;
+        let slowest = parts.iter().find(|(_, weight)| {
+            have += weight;
+            have >= needed
+        });
+        slowest.is_some_and(|(takes, _)| takes * GF > left * rank)
     }
 
     /// How late a part of usual weight is when it is worth another send.
