--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -264,7 +264,7 @@
         /// The design's first setting.
         const N: i32 = 3;
         /// How many times its price a crossing weighs on the latency: enough to break ties at equal queues.
-        const CROSSING: f64 = 50.0;
+        const CROSSING: f64 = 200.0;
         let Layout { cells, in_a_row } = self.layout;
         let holds = |cell: Cell| (cell.0 + cells - shard.0 % cells) % cells < in_a_row;
         let mut best: Option<(bool, f64, u32, &SearcherId, f64)> = None;
