A part's work adds to a common wait instead of multiplying it

Cause: latency was divided by expected work, so heavy parts looked hopeless and light ones made searchers look slow. Now work beyond the usual is taken off a sample and added to a prediction.

--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -30,7 +30,7 @@
     listed_start: Option<Time>,
     /// When it began to warm up, by the list or by its symptoms.
     cold_since: Option<Time>,
-    /// This mixer's sends out at it: when each left and how heavy it is against a usual part.
+    /// This mixer's sends out at it: when each left and what its work adds to a usual part's seconds.
     out: Vec<(Time, f64)>,
     /// EWMA of the number of sends out.
     queue: f64,
@@ -80,8 +80,8 @@
         self.down_since = None;
     }
 
-    fn sent(&mut self, now: Time, weight: f64) {
-        self.out.push((now, weight));
+    fn sent(&mut self, now: Time, extra: f64) {
+        self.out.push((now, extra));
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
         self.last_send = Some(now);
     }
@@ -89,12 +89,13 @@
     /// Feeds one outcome. A failure never makes a searcher look quicker than its peers.
     fn ended(&mut self, now: Time, send: &Send, outcome: Outcome, elapsed: Span, peers: f64) -> Option<f64> {
         let place = self.out.iter().position(|(at, _)| *at == send.at)?;
-        let (_, weight) = self.out.swap_remove(place);
+        let (_, extra) = self.out.swap_remove(place);
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
         if outcome == Outcome::Moot {
             return None;
         }
-        let sample = elapsed.as_secs() / weight;
+        // Waiting is common to all parts, work is not: what is more than usual of it comes off.
+        let sample = (elapsed.as_secs() - extra).max(elapsed.as_secs() * 0.2);
         let fed = match outcome {
             Outcome::Returned => sample,
             _ => sample.max(peers).max(self.latency.unwrap_or(0.0)),
@@ -156,7 +157,7 @@
     /// What a part of usual weight is expected to take here, in seconds.
     fn expected(&self, now: Time, peers: f64, cold: &ColdRule) -> f64 {
         // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
-        let oldest = self.out.iter().map(|(at, w)| now.since(*at).as_secs() / w).fold(0.0, f64::max);
+        let oldest = self.out.iter().map(|(at, extra)| now.since(*at).as_secs() - extra).fold(0.0, f64::max);
         let learned = self.settled(now, peers).unwrap_or(peers);
         // One that starts cold looks empty: it is expected to be slow until it has had time to warm.
         learned.max(oldest).max(peers / self.capacity(now, cold))
@@ -398,6 +399,8 @@
 struct Spread {
     mean: f64,
     deviation: f64,
+    /// About the least they take: work without waiting.
+    work: f64,
     count: f64,
 }
 
@@ -579,6 +582,11 @@
         (by_kind * by_hint).clamp(0.2, 8.0)
     }
 
+    /// What a part takes beyond a usual one, in seconds.
+    fn extra(&self, op: OpTypeId, part: &Part) -> f64 {
+        self.spread.work * (self.weight(op, part) - 1.0)
+    }
+
     fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
         /// Long enough to hold through one searcher's trouble, short enough to follow a day.
         const SAMPLES: f64 = 100.0;
@@ -597,6 +605,11 @@
         blend(&mut self.spread.mean, sample, by);
         if self.spread.count > 1.0 {
             blend(&mut self.spread.deviation, off, by);
+            // Falls tenfold as readily as it rises, so it settles near the low end.
+            let by = if sample < self.spread.work { 0.1 } else { 0.01 };
+            blend(&mut self.spread.work, sample, by);
+        } else {
+            self.spread.work = sample;
         }
     }
 
@@ -740,7 +753,7 @@
         for (_, p) in Self::step(mg) {
             if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
-                let takes = expected * self.weight(mg.op_type, p);
+                let takes = expected + self.extra(mg.op_type, p);
                 parts.push((if idle { 0.0 } else { takes }, p.weight));
             }
         }
@@ -759,7 +772,7 @@
         /// As for a retransmission: the mean and some deviations. More where the first send must be
         /// given up for the second.
         let deviations = if self.limits.second_copies { 4.0 } else { 6.0 };
-        let Spread { mean, deviation, count } = self.spread;
+        let Spread { mean, deviation, count, .. } = self.spread;
         if count < 10.0 { peers * 3.0 } else { mean + deviations * deviation }
     }
 
@@ -774,7 +787,7 @@
         // Another send would only add to that.
         let age = |p: &Part| {
             let taken = p.sends.last().map_or(0.0, |s| now.since(s.at).as_secs());
-            if p.returned { 0.0 } else { taken / self.weight(op, p) }
+            if p.returned { 0.0 } else { taken - self.extra(op, p) }
         };
         let heavy = Self::step(mg).map(|(_, p)| age(p)).fold(f64::MAX, f64::min) / peers;
         let patience = self.patience(peers) * heavy.max(1.0);
@@ -782,16 +795,17 @@
             Self::step(mg).filter(|(_, p)| !p.returned && !p.closed).collect();
         turn.sort_by(|a, b| self.weight(op, b.1).total_cmp(&self.weight(op, a.1)).then(a.0.cmp(&b.0)));
         for (place, p) in turn {
-            let weight = self.weight(op, p);
+            let extra = self.extra(op, p);
+            let late = Span::from_secs(patience + extra).max(self.tick);
             let open: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
             if let Some(&last) = open.last() {
-                let late = p.sends[last].at + Span::from_secs(patience * weight).max(self.tick);
+                let late = p.sends[last].at + late;
                 if late > now {
                     wake = wake.min(late);
                     continue;
                 }
             }
-            if !self.may_send(now, mg, p) || left < Span::from_secs(peers * weight * 0.5) {
+            if !self.may_send(now, mg, p) || left < Span::from_secs(peers * 0.5 + extra) {
                 continue;
             }
             let further = !p.sends.is_empty();
@@ -831,12 +845,11 @@
                 self.further.made(now);
             }
             if let Some(searcher) = self.sender.searchers.get_mut(&to) {
-                searcher.sent(now, weight);
+                searcher.sent(now, extra);
             }
-            let late = Span::from_secs(patience * weight);
             let alone = !self.limits.second_copies && !self.limits.may_withdraw;
             let timeout = if alone { late.min(left) } else { left };
-            wake = wake.min(now + late.max(self.tick));
+            wake = wake.min(now + late);
             advice.orders.push(Order { part: place, to, timeout });
         }
         advice.again = Some(wake.since(now).max(self.tick));
