Tell first tries by the time most clients are given

Cause: the longest time given was taken for a first try's, but a last try is given all that is left, so after one of those every first try counted as late and was pushed back early.

--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -418,8 +418,8 @@
     usual: Vec<[Usual; 2]>,
     all: Usual,
     spread: Spread,
-    /// The longest time a client of each op type has had: its first try's.
-    first_try: Vec<Span>,
+    /// The time that most clients of each op type are given: a first try's. With how many votes.
+    first_try: Vec<(Span, i32)>,
     /// Importance asked for by unit of work, on average.
     density: f64,
     sender: Sender,
@@ -448,7 +448,7 @@
             usual: vec![Default::default(); kinds],
             all: Usual::default(),
             spread: Spread::default(),
-            first_try: vec![Span::ZERO; kinds],
+            first_try: vec![(Span::ZERO, 0); kinds],
             density: 0.0,
             sender,
             further: Further::new(None),
@@ -616,8 +616,15 @@
     /// Notes a multiget that has just been taken.
     fn take(&mut self, now: Time, mg: &Multiget) {
         self.further.took(now, mg.parts.len());
-        let longest = &mut self.first_try[mg.op_type.0];
-        *longest = (*longest).max(mg.ends.since(mg.arrived));
+        /// Votes kept at most, so that a change of habit shows within as many multigets.
+        const VOTES: i32 = 20;
+        let given = mg.ends.since(mg.arrived);
+        let (usual, votes) = self.first_try[mg.op_type.0];
+        self.first_try[mg.op_type.0] = match self.like_first(mg) {
+            true => (usual, (votes + 1).min(VOTES)),
+            false if votes > 0 => (usual, votes - 1),
+            false => (given, 1),
+        };
         let worth = self.worth(mg);
         let by = if self.density > 0.0 { 0.02 } else { 1.0 };
         blend(&mut self.density, worth, by);
@@ -643,16 +650,21 @@
         self.tick.times(3.0) + Span::from_millis(5)
     }
 
-    /// When the client sees its latency budget pass. A later try of a client that got less time than first
-    /// tries get tells how long ago that one began.
+    /// Whether the client gave it as long as first tries get.
+    fn like_first(&self, mg: &Multiget) -> bool {
+        let (usual, _) = self.first_try[mg.op_type.0];
+        let given = mg.ends.since(mg.arrived);
+        given.saturating_sub(usual).max(usual.saturating_sub(given)) < Span::from_millis(20)
+    }
+
+    /// When the client sees its latency budget pass. A later try that is given other than the usual time is
+    /// given what the client has left of the route timeout, which tells how long ago its first began.
     fn budget_end(&self, mg: &Multiget) -> Time {
         let op = self.op(mg);
         let stretch = mg.hint.map_or(Span::ZERO, |h| h.times(op.budget_stretch));
         let budget = (op.latency_budget + stretch).min(op.route_timeout);
         let given = mg.ends.since(mg.arrived);
-        let first = self.first_try[mg.op_type.0];
-        let shorter = given + self.margin() < first;
-        let gone = if shorter { op.route_timeout.saturating_sub(given) } else { Span::ZERO };
+        let gone = if self.like_first(mg) { Span::ZERO } else { op.route_timeout.saturating_sub(given) };
         (mg.arrived + budget - gone).min(mg.ends) - self.margin()
     }
 
