--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -436,7 +436,7 @@
 const RANKP: f64 = 0.5;
 const RLO: f64 = 0.5;
 const RHI: f64 = 1.2;
-const GF: f64 = 1.2;
+const GF: f64 = 1.5;
 
 impl Policy {
     pub fn new(_now: Time, seed: u64, tick: Span, op_types: Vec<OpType>, sender: Sender) -> Self {
