--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -179,18 +179,6 @@
 /// The window over which own traffic is measured: some seconds, to ride over bursts.
 const FLOW_S: f64 = 5.0;
 
-/// What a part needs of its replica.
-#[derive(Clone, Copy)]
-struct Need {
-    /// Latency of the peers, for a replica not heard from.
-    peers: f64,
-    /// Seconds left for a part of usual work.
-    left: f64,
-}
-
-/// The slowest of a few parts takes about this many times what is expected of one.
-const SLOWEST: f64 = 1.5;
-
 /// Where a part may go.
 enum Pick {
     Go(SearcherId, f64),
@@ -273,17 +261,14 @@
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
     /// in `not`, unless there is no other.
-    /// It passes over one not expected to answer in time while another is: with N = 3 an idle replica ten
-    /// times as slow would beat a sound one that has two parts.
-    fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], need: Need, rng: &mut ChaCha8Rng) -> Pick {
-        let Need { peers, left } = need;
+    fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], peers: f64, rng: &mut ChaCha8Rng) -> Pick {
         /// The design's first setting.
         const N: i32 = 3;
         /// How many times its price a crossing weighs on the latency: enough to break ties at equal queues.
         const CROSSING: f64 = 200.0;
         let Layout { cells, in_a_row } = self.layout;
         let holds = |cell: Cell| (cell.0 + cells - shard.0 % cells) % cells < in_a_row;
-        let mut best: Option<((bool, bool), f64, u32, &SearcherId, f64)> = None;
+        let mut best: Option<(bool, f64, u32, &SearcherId, f64)> = None;
         let mut soonest: Option<Span> = None;
         for (id, s) in &self.searchers {
             if s.state != SearcherState::Up || !holds(s.cell) {
@@ -304,9 +289,8 @@
             // has few sends, so failures weigh twice.
             let failing = s.goodness(now).max(0.05).powi(2);
             let score = queue.powi(N) * expected * crossing / failing;
-            let late = expected / failing * SLOWEST > left;
-            let entry = ((not.contains(&id), late), score, rng.random::<u32>(), id, expected / failing);
-            let better = |b: &((bool, bool), f64, u32, &SearcherId, f64)| {
+            let entry = (not.contains(&id), score, rng.random::<u32>(), id, expected / failing);
+            let better = |b: &(bool, f64, u32, &SearcherId, f64)| {
                 entry.0.cmp(&b.0).then(entry.1.total_cmp(&b.1)).then(entry.2.cmp(&b.2)) == Ordering::Less
             };
             if best.as_ref().is_none_or(better) {
@@ -452,6 +436,7 @@
 const RANKP: f64 = 0.5;
 const RLO: f64 = 0.5;
 const RHI: f64 = 1.2;
+const GF: f64 = 1.5;
 
 impl Policy {
     pub fn new(_now: Time, seed: u64, tick: Span, op_types: Vec<OpType>, sender: Sender) -> Self {
@@ -778,8 +763,7 @@
         let rank = (self.worth(mg) / self.density.max(1e-9)).powf(RANKP).clamp(RLO, RHI);
         let mut parts = Vec::new();
         for (_, p) in Self::step(mg) {
-            let need = Need { peers, left: left - self.extra(mg.op_type, p) };
-            if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], need, &mut self.rng) {
+            if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
                 let takes = expected + self.extra(mg.op_type, p);
                 parts.push((if idle { 0.0 } else { takes }, p.weight));
@@ -792,7 +776,7 @@
             have += weight;
             have >= needed
         });
-        slowest.is_some_and(|(takes, _)| takes * SLOWEST > left * rank)
+        slowest.is_some_and(|(takes, _)| takes * GF > left * rank)
     }
 
     /// How late a part of usual weight is when it is worth another send.
@@ -810,7 +794,6 @@
         let peers = self.peers(op);
         let end = self.useful_end(mg);
         let left = end.since(now);
-        let budget_left = self.budget_end(mg).since(now).as_secs();
         let mut wake = if now < self.cut(mg) { self.cut(mg) } else { end };
         // All parts late, each at its searcher: it is this multiget that is heavy, or everybody is slow.
         // Another send would only add to that.
@@ -843,8 +826,7 @@
                 continue;
             }
             let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
-            let need = Need { peers, left: budget_left - extra };
-            let pick = self.sender.pick(now, p.shard, &tried, need, &mut self.rng);
+            let pick = self.sender.pick(now, p.shard, &tried, peers, &mut self.rng);
             let to = match pick {
                 Pick::Go(to, _) => to,
                 Pick::In(span) => {
