--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -756,15 +756,19 @@
 
     /// Under overload, what cannot be answered in time is pushed back before work is wasted on it, the
     /// least worth for its work first. A multiget takes as long as the slowest part that it needs; a
-    /// replica with nothing of ours out is always worth a try, so that stale averages are found out.
+    /// replica with nothing of ours out and not heard of lately is worth a try, so that a stale average
+    /// can't shut the gate for good.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
+        /// Some times what a part takes on a good day, far less than a day's troubles last.
+        const STALE: Span = Span::from_millis(1_000);
         let left = self.budget_end(mg).since(now).as_secs();
         let peers = self.peers(mg.op_type);
         let rank = (self.worth(mg) / self.density.max(1e-9)).powf(RANKP).clamp(RLO, RHI);
         let mut parts = Vec::new();
         for (_, p) in Self::step(mg) {
             if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
-                let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
+                let stale = |s: &Searcher| s.out.is_empty() && now.since(s.heard) > STALE;
+                let idle = self.sender.searchers.get(&id).is_some_and(stale);
                 let takes = expected + self.extra(mg.op_type, p);
                 parts.push((if idle { 0.0 } else { takes }, p.weight));
             }
