--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -418,8 +418,6 @@
     usual: Vec<[Usual; 2]>,
     all: Usual,
     spread: Spread,
-    /// Average latency of late, and when it was last fed.
-    recent: (f64, Time),
     /// The time that most clients of each op type are given: a first try's. With how many votes.
     first_try: Vec<(Span, i32)>,
     /// Importance asked for by unit of work, on average.
@@ -438,12 +436,10 @@
 const RANKP: f64 = 0.5;
 const RLO: f64 = 0.5;
 const RHI: f64 = 1.2;
-const CONGESTED: f64 = 2.0;
-const RW: f64 = 0.1;
 const GF: f64 = 1.5;
 
 impl Policy {
-    pub fn new(now: Time, seed: u64, tick: Span, op_types: Vec<OpType>, sender: Sender) -> Self {
+    pub fn new(_now: Time, seed: u64, tick: Span, op_types: Vec<OpType>, sender: Sender) -> Self {
         let kinds = op_types.len();
         Policy {
             tick,
@@ -452,7 +448,6 @@
             usual: vec![Default::default(); kinds],
             all: Usual::default(),
             spread: Spread::default(),
-            recent: (0.0, now),
             first_try: vec![(Span::ZERO, 0); kinds],
             density: 0.0,
             sender,
@@ -556,7 +551,7 @@
             && let Some(sample) = searcher.ended(now, send, outcome, elapsed, peers)
         {
             let weight = self.weight(op, p);
-            self.learn(now, op, p, elapsed, sample);
+            self.learn(op, p, elapsed, sample);
             self.sender.flowed(now, weight);
         }
         if nth > 0 && outcome != Outcome::Moot {
@@ -592,15 +587,7 @@
         self.spread.work * (self.weight(op, part) - 1.0)
     }
 
-    /// What a usual part took of late, over all searchers; with nothing heard it falls back to bare work,
-    /// so that the gate opens again.
-    fn recent_latency(&self, now: Time) -> f64 {
-        let (recent, at) = self.recent;
-        let forget = 0.5f64.powf(now.since(at).as_secs() / 0.5);
-        self.spread.work + (recent - self.spread.work).max(0.0) * forget
-    }
-
-    fn learn(&mut self, now: Time, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
+    fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
         /// Long enough to hold through one searcher's trouble, short enough to follow a day.
         const SAMPLES: f64 = 100.0;
         let step = |count: &mut f64| {
@@ -613,7 +600,6 @@
         blend(&mut usual.hint, part.hint.map_or(0.0, Span::as_secs), by);
         let by = step(&mut self.all.count);
         blend(&mut self.all.latency, elapsed.as_secs(), by);
-        self.recent = (self.recent_latency(now) * (1.0 - RW) + sample * RW, now);
         let by = step(&mut self.spread.count);
         let off = (sample - self.spread.mean).abs();
         blend(&mut self.spread.mean, sample, by);
@@ -775,10 +761,6 @@
         let left = self.budget_end(mg).since(now).as_secs();
         let peers = self.peers(mg.op_type);
         let rank = (self.worth(mg) / self.density.max(1e-9)).powf(RANKP).clamp(RLO, RHI);
-        // Everything takes so long that a multiget of this worth would crowd out better ones.
-        if self.recent_latency(now) * CONGESTED > left * rank {
-            return true;
-        }
         let mut parts = Vec::new();
         for (_, p) in Self::step(mg) {
             if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
