--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -783,7 +783,7 @@
     fn patience(&self, peers: f64) -> f64 {
         /// As for a retransmission: the mean and some deviations. More where the first send must be
         /// given up for the second.
-        let deviations = if self.limits.second_copies { 4.0 } else { 6.0 };
+        let deviations = if self.limits.second_copies { 10.0 } else { 15.0 };
         let Spread { mean, deviation, count, .. } = self.spread;
         if count < 10.0 { peers * 3.0 } else { mean + deviations * deviation }
     }
