--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -139,7 +139,7 @@
     /// so with nothing out and nothing heard its figures drift to its peers'.
     fn memory(&self, now: Time) -> f64 {
         /// A few seconds: a trial part every so often while trouble lasts, soon back after it.
-        const HALF_LIFE_S: f64 = 5.0;
+        const HALF_LIFE_S: f64 = 20.0;
         if !self.out.is_empty() {
             return 1.0;
         }
@@ -435,7 +435,7 @@
 
 const RANKP: f64 = 0.5;
 const RLO: f64 = 0.5;
-const RHI: f64 = 1.2;
+const RHI: f64 = 1.0;
 const GF: f64 = 1.5;
 
 impl Policy {
@@ -795,14 +795,7 @@
         let end = self.useful_end(mg);
         let left = end.since(now);
         let mut wake = if now < self.cut(mg) { self.cut(mg) } else { end };
-        // All parts late, each at its searcher: it is this multiget that is heavy, or everybody is slow.
-        // Another send would only add to that.
-        let age = |p: &Part| {
-            let taken = p.sends.last().map_or(0.0, |s| now.since(s.at).as_secs());
-            if p.returned { 0.0 } else { taken - self.extra(op, p) }
-        };
-        let heavy = Self::step(mg).map(|(_, p)| age(p)).fold(f64::MAX, f64::min) / peers;
-        let patience = self.patience(peers) * heavy.max(1.0);
+        let patience = self.patience(peers);
         let mut turn: Vec<(usize, &Part)> =
             Self::step(mg).filter(|(_, p)| !p.returned && !p.closed).collect();
         turn.sort_by(|a, b| self.weight(op, b.1).total_cmp(&self.weight(op, a.1)).then(a.0.cmp(&b.0)));
