--- a/crates/lockusher-drill/src/main.rs
+++ b/crates/lockusher-drill/src/main.rs
@@ -56,10 +56,8 @@
             Event::ClosedAttempt(closed) => self.mixer(&closed.mixer)?.closed(now, &closed)?,
             Event::ClientLeft { mixer, corr } => self.mixer(&mixer)?.client_left(&corr),
             Event::DeadlineHit { mixer, token } => self.mixer(&mixer)?.timer(token),
-            Event::PingResult { mixer, rc, latency_us, searcher, server_stats } => {
-                self.mixer(&mixer)?.probed(now, &searcher, rc, latency_us, server_stats.as_ref())?
-            }
-            Event::Begun {} | Event::Inbox {} => {}
+            // Nothing that the module asks for brings these.
+            Event::PingResult {} | Event::Begun {} | Event::Inbox {} => {}
         }
         Ok(())
     }
--- a/crates/lockusher-drill/src/mixer.rs
+++ b/crates/lockusher-drill/src/mixer.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result, bail};
 use lockusher::interface::*;
-use lockusher::policy::{Policy, Sender};
+use lockusher::policy::{Asking, Further, Gate, Policy, Sender};
 
 use crate::wire::{self, Action, ClosedAttempt, Customer, Entry, Facts, Knock, Mode, Names};
 
@@ -29,19 +29,19 @@
         let op_types = facts.op_types().map_err(anyhow::Error::msg)?;
         let tick = Span::from_micros(facts.tick_us);
         let second_steps = op_types.iter().map(|op| op.second_step).collect();
-        let sender = Sender::new(
-            facts.layout(),
-            facts.cold_rule(),
-            facts.home(),
-            facts.cross_zone_price(),
-            facts.probes(),
+        let layout = facts.layout();
+        let sender = Sender::new(layout, facts.cold_rule(), facts.home(), facts.cross_zone_price());
+        let further = Further::new(facts.part_limits(), facts.send_budget());
+        let gate = Gate::new(
+            now,
+            &facts.tenants(),
+            facts.over_share_worth,
+            facts.balancers,
+            facts.by_work(),
+            facts.longest_come_back(),
         );
-        let policy = Policy::new(now, seed, tick, op_types, sender)
-            .with_limits(facts.part_limits(), facts.send_budget())
-            .with_tenants(now, &facts.tenants(), facts.over_share_worth, facts.balancers)
-            .with_importance(facts.by_work())
-            .with_come_back(facts.longest_come_back())
-            .with_asking(now, facts.ask_every());
+        let asking = Asking::new(now, facts.ask_every());
+        let policy = Policy::new(seed, tick, op_types, sender, further, gate, asking);
         Ok(Mixer {
             policy,
             names: facts.names(),
@@ -155,8 +155,7 @@
         part.returned |= outcome == Outcome::Returned && !late;
         part.closed |= closed.terminal;
         let elapsed = Span::from_micros(closed.latency_us);
-        let report = self.names.report(closed.server_stats.as_ref());
-        let advice = (self.policy).outcome(now, multiget, place, closed.round_no, elapsed, report);
+        let advice = self.policy.outcome(now, multiget, place, closed.round_no, elapsed);
         self.follow(now, &id, advice);
         self.forget_if_over(&id);
         Ok(())
@@ -178,22 +177,6 @@
         }
     }
 
-    pub fn probed(
-        &mut self,
-        now: Time,
-        searcher: &str,
-        rc: u16,
-        latency_us: u64,
-        row: Option<&Vec<f64>>,
-    ) -> Result<()> {
-        self.touched = true;
-        let outcome = wire::outcome(rc).with_context(|| format!("probe of {searcher}: code {rc}"))?;
-        let report = self.names.report(row);
-        let took = Span::from_micros(latency_us);
-        (self.policy).probed(now, &SearcherId::new(searcher), outcome, took, report);
-        Ok(())
-    }
-
     /// Takes the turns that are due, arms the timer and hands over the actions of this batch.
     pub fn settle(&mut self, now: Time) -> Vec<Action> {
         if !std::mem::take(&mut self.touched) {
@@ -205,10 +188,6 @@
             Some(Ask::List) => self.actions.push(Action::Fetch {}),
             None => {}
         }
-        for searcher in &wait.probe {
-            let searcher = searcher.as_str().to_owned();
-            self.actions.push(Action::HealthCheck { searcher });
-        }
         for id in &wait.turn {
             if let Some(multiget) = self.in_hand.get(id) {
                 let advice = self.policy.place(now, multiget);
--- a/crates/lockusher-drill/src/wire.rs
+++ b/crates/lockusher-drill/src/wire.rs
@@ -33,14 +33,7 @@
     #[serde(rename = "DEADLINE_HIT")]
     DeadlineHit { mixer: String, token: u64 },
     #[serde(rename = "PING_RESULT")]
-    PingResult {
-        mixer: String,
-        rc: u16,
-        #[serde(default)]
-        latency_us: u64,
-        searcher: String,
-        server_stats: Option<Vec<f64>>,
-    },
+    PingResult {},
     #[serde(rename = "INBOX")]
     Inbox {},
 }
@@ -117,7 +110,6 @@
     #[serde(default)]
     pub round_no: usize,
     pub rc: u16,
-    pub server_stats: Option<Vec<f64>>,
 }
 
 pub fn outcome(rc: u16) -> Option<Outcome> {
@@ -149,7 +141,6 @@
     #[serde(default)]
     parties: Vec<Party>,
     prices: Prices,
-    report: Report,
     rules: Rules,
     pub tick_us: u64,
     #[serde(default)]
@@ -208,8 +199,6 @@
     #[serde(default)]
     parallel_tries: bool,
     #[serde(default)]
-    probes: bool,
-    #[serde(default)]
     retry_after: bool,
 }
 
@@ -232,12 +221,6 @@
     cross_zone: f64,
 }
 
-#[derive(Deserialize)]
-struct Report {
-    #[serde(default)]
-    columns: Vec<String>,
-}
-
 #[derive(Deserialize)]
 struct Rules {
     ask_every_us: Option<u64>,
@@ -332,10 +315,6 @@
         self.worth_by == WorthBy::Work
     }
 
-    pub fn probes(&self) -> bool {
-        self.limits.probes
-    }
-
     pub fn cross_zone_price(&self) -> f64 {
         self.prices.cross_zone
     }
@@ -352,7 +331,6 @@
             op_types: op_types.map(|(i, n)| (n, OpTypeId(i))).collect(),
             tenants: tenants.map(|(i, n)| (n, TenantId(i))).collect(),
             zones: zones.map(|(i, n)| (n, Zone(i))).collect(),
-            columns: self.report.columns.clone(),
         }
     }
 
@@ -366,7 +344,6 @@
     pub op_types: BTreeMap<String, OpTypeId>,
     pub tenants: BTreeMap<String, TenantId>,
     pub zones: BTreeMap<String, Zone>,
-    pub columns: Vec<String>,
 }
 
 impl Names {
@@ -385,23 +362,6 @@
             rating: entry.rating.unwrap_or(1.0),
         }
     }
-
-    pub fn report(&self, row: Option<&Vec<f64>>) -> Option<LoadReport> {
-        let mut report = LoadReport::default();
-        for (name, &value) in self.columns.iter().zip(row?) {
-            let field = match name.as_str() {
-                "busy_reqs" => &mut report.in_work,
-                "pending" => &mut report.queue,
-                "cpu_share" => &mut report.util,
-                "svc_ms" => &mut report.service_ms,
-                "served_ps" => &mut report.returned_per_s,
-                "failed_ps" => &mut report.failed_per_s,
-                _ => continue,
-            };
-            *field = Some(value);
-        }
-        Some(report)
-    }
 }
 
 #[derive(Serialize)]
@@ -440,6 +400,4 @@
     StreamChanges { entire: bool },
     #[serde(rename = "FETCH")]
     Fetch {},
-    #[serde(rename = "HEALTH_CHECK")]
-    HealthCheck { searcher: String },
 }
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -228,17 +228,6 @@
     Refused,
 }
 
-/// What a searcher reports of itself; absent where a site does not have it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct LoadReport {
-    pub in_work: Option<f64>,
-    pub queue: Option<f64>,
-    pub util: Option<f64>,
-    pub service_ms: Option<f64>,
-    pub returned_per_s: Option<f64>,
-    pub failed_per_s: Option<f64>,
-}
-
 /// How a send ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -347,7 +336,6 @@
     /// Multigets to ask about now, in this order.
     pub turn: Vec<MultigetId>,
     pub ask: Option<Ask>,
-    pub probe: Vec<SearcherId>,
     /// Call again after this at the latest.
     pub next: Option<Span>,
 }
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -22,6 +22,25 @@
     *average += (sample - *average) * weight;
 }
 
+/// A plain mean at first, then an average over about the last hundred samples: long enough to hold through
+/// one searcher's trouble, short enough to follow a day.
+#[derive(Clone, Copy, Default)]
+struct Mean {
+    count: f64,
+    value: f64,
+}
+
+impl Mean {
+    fn feed(&mut self, sample: f64) {
+        self.count = (self.count + 1.0).min(100.0);
+        blend(&mut self.value, sample, 1.0 / self.count);
+    }
+
+    fn known(&self) -> Option<f64> {
+        (self.count > 0.0).then_some(self.value)
+    }
+}
+
 /// What is known of one searcher; nothing about it is kept anywhere else.
 struct Searcher {
     cell: Cell,
@@ -188,13 +207,7 @@
 }
 
 impl Sender {
-    pub fn new(
-        layout: Layout,
-        cold: ColdRule,
-        home: Option<Zone>,
-        cross_zone_price: f64,
-        _probes: bool,
-    ) -> Self {
+    pub fn new(layout: Layout, cold: ColdRule, home: Option<Zone>, cross_zone_price: f64) -> Self {
         let searchers = BTreeMap::new();
         Sender { layout, cold, home, cross_zone_price, searchers, flow: 0.0, flow_at: None }
     }
@@ -259,6 +272,13 @@
         Span::from_secs((1.0 / allowed.max(1e-9)).min(window))
     }
 
+    /// The searchers that hold a shard and are neither draining nor gone.
+    fn holders(&self, shard: Shard) -> impl Iterator<Item = (&SearcherId, &Searcher)> {
+        let Layout { cells, in_a_row } = self.layout;
+        let holds = move |cell: Cell| (cell.0 + cells - shard.0 % cells) % cells < in_a_row;
+        self.searchers.iter().filter(move |(_, s)| s.state == SearcherState::Up && holds(s.cell))
+    }
+
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
     /// in `not`, unless there is no other.
     fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], peers: f64, rng: &mut ChaCha8Rng) -> Pick {
@@ -266,19 +286,13 @@
         const N: i32 = 3;
         /// How many times its price a crossing weighs on the latency: enough to break ties at equal queues.
         const CROSSING: f64 = 200.0;
-        let Layout { cells, in_a_row } = self.layout;
-        let holds = |cell: Cell| (cell.0 + cells - shard.0 % cells) % cells < in_a_row;
         let mut best: Option<(bool, f64, u32, &SearcherId, f64)> = None;
         let mut soonest: Option<Span> = None;
-        for (id, s) in &self.searchers {
-            if s.state != SearcherState::Up || !holds(s.cell) {
-                continue;
-            }
+        for (id, s) in self.holders(shard) {
             let gap = self.cold_gap(now, s);
             let waited = s.last_send.map_or(Span::MAX, |at| now.since(at));
             if waited < gap {
-                let left = gap.saturating_sub(waited);
-                soonest = Some(soonest.map_or(left, |s| s.min(left)));
+                soonest = soonest.into_iter().chain([gap.saturating_sub(waited)]).min();
                 continue;
             }
             let expected = s.expected(now, peers, &self.cold);
@@ -307,7 +321,8 @@
 
 /// How often further sends are made: it follows how many of the recent ones succeeded, and stays within
 /// the stated budget where there is one.
-struct Further {
+pub struct Further {
+    limits: PartLimits,
     budget: Option<SendBudget>,
     tokens: f64,
     /// EWMA of the share of further sends that brought their part's answer.
@@ -317,8 +332,10 @@
 }
 
 impl Further {
-    fn new(budget: Option<SendBudget>) -> Self {
-        Further { budget, tokens: 5.0, helped: 0.5, taken: VecDeque::new(), made: VecDeque::new() }
+    /// Starts with a few in hand, so that a mixer that has just started can meet a failure.
+    pub fn new(limits: PartLimits, budget: Option<SendBudget>) -> Self {
+        let (taken, made) = (VecDeque::new(), VecDeque::new());
+        Further { limits, budget, tokens: 5.0, helped: 0.5, taken, made }
     }
 
     /// A multiget with so many parts was taken.
@@ -356,19 +373,24 @@
     }
 
     fn ended(&mut self, brought_answer: bool) {
-        /// About the last ten.
+        // About the last ten.
         blend(&mut self.helped, f64::from(brought_answer), 0.1);
     }
 }
 
 /// When to ask discovery, on sites where it must be asked.
-struct Asking {
+pub struct Asking {
     every: Option<Span>,
     next: Option<Time>,
     failures: i32,
 }
 
 impl Asking {
+    /// Where the list must be asked for, it is asked for at once: a mixer that starts has an old one.
+    pub fn new(now: Time, every: Option<Span>) -> Self {
+        Asking { every, next: every.map(|_| now), failures: 0 }
+    }
+
     fn due(&mut self, now: Time) -> Option<Ask> {
         self.next.filter(|&at| at <= now)?;
         self.next = None;
@@ -377,33 +399,15 @@
 
     /// Asks again with spread and back-off, yet far within the time after which silence counts as told.
     fn refused(&mut self, now: Time, rng: &mut ChaCha8Rng) {
+        /// About as long as one call takes.
         const FIRST_S: f64 = 0.4;
         let Some(every) = self.every else { return };
-        let longest = every.as_secs() / 4.0;
-        let back_off = (FIRST_S * 2f64.powi(self.failures)).min(longest);
+        let back_off = (FIRST_S * 2f64.powi(self.failures)).min(every.as_secs() / 4.0);
         self.failures += 1;
         self.next = Some(now + Span::from_secs(back_off * rng.random_range(0.5..1.5)));
     }
 }
 
-/// What parts of one op type and step usually take, so that unlike work can share one latency average.
-#[derive(Clone, Copy, Default)]
-struct Usual {
-    count: f64,
-    latency: f64,
-    hint: f64,
-}
-
-/// How parts of usual weight spread around their mean, to tell a late one.
-#[derive(Clone, Copy, Default)]
-struct Spread {
-    mean: f64,
-    deviation: f64,
-    /// About the least they take: work without waiting.
-    work: f64,
-    count: f64,
-}
-
 /// A tenant's room within its share.
 struct Quota {
     per_s: f64,
@@ -411,86 +415,106 @@
     at: Time,
 }
 
+/// What multigets are worth against each other, and which tenants exceed their share.
+pub struct Gate {
+    quotas: Vec<Quota>,
+    over_share: f64,
+    /// Importance is counted by unit of work, not by multiget.
+    by_work: bool,
+    longest_come_back: Option<Span>,
+    /// Importance asked for by unit of work, on average.
+    density: f64,
+}
+
+impl Gate {
+    /// `longest_come_back`: the longest time to come back that clients keep to, if they are told one.
+    pub fn new(
+        now: Time,
+        tenants: &[Tenant],
+        over_share: f64,
+        mixers: usize,
+        by_work: bool,
+        longest_come_back: Option<Span>,
+    ) -> Self {
+        let per_s = |t: &Tenant| t.quota_per_s / mixers.max(1) as f64;
+        let quotas = tenants.iter().map(|t| Quota { per_s: per_s(t), tokens: per_s(t), at: now }).collect();
+        Gate { quotas, over_share, by_work, longest_come_back, density: 0.0 }
+    }
+
+    fn took(&mut self, now: Time, mg: &Multiget, worth: f64) {
+        /// Moves over some fifty multigets.
+        const BY: f64 = 0.02;
+        let by = if self.density > 0.0 { BY } else { 1.0 };
+        blend(&mut self.density, worth, by);
+        if let Some(quota) = mg.tenant.and_then(|t| self.quotas.get_mut(t.0)) {
+            let gained = now.since(quota.at).as_secs() * quota.per_s;
+            quota.tokens = ((quota.tokens + gained).min(quota.per_s) - 1.0).max(-quota.per_s);
+            quota.at = now;
+        }
+    }
+
+    /// Importance by unit of work; what exceeds its tenant's share is worth little.
+    fn worth(&self, mg: &Multiget, importance: f64, work: f64) -> f64 {
+        let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
+        let share = if quota.is_some_and(|q| q.tokens < 0.0) { self.over_share } else { 1.0 };
+        importance * share / if self.by_work { 1.0 } else { work.max(0.1) }
+    }
+
+    /// The part of the time left that it may plan to use: less where it is worth less than most.
+    fn room(&self, worth: f64) -> f64 {
+        /// The least worth still gets half: the gate sorts, it does not starve.
+        const LEAST: f64 = 0.5;
+        (worth / self.density.max(1e-9)).sqrt().clamp(LEAST, 1.0)
+    }
+}
+
 pub struct Policy {
     tick: Span,
     rng: ChaCha8Rng,
     op_types: Vec<OpType>,
-    usual: Vec<[Usual; 2]>,
-    all: Usual,
-    spread: Spread,
+    /// Latency and hint of parts of each op type and step, so that unlike work can share one average.
+    usual: Vec<[(Mean, Mean); 2]>,
+    all: Mean,
+    /// Of parts of usual weight: mean latency, its deviation, and about the least: work without waiting.
+    mean: Mean,
+    deviation: Mean,
+    work: f64,
     /// The time that most clients of each op type are given: a first try's. With how many votes.
     first_try: Vec<(Span, i32)>,
-    /// Importance asked for by unit of work, on average.
-    density: f64,
     sender: Sender,
     further: Further,
-    limits: PartLimits,
-    quotas: Vec<Quota>,
-    over_share: f64,
-    longest_come_back: Option<Span>,
-    /// Importance is counted by unit of work, not by multiget.
-    by_work: bool,
+    gate: Gate,
     asking: Asking,
 }
 
-const RANKP: f64 = 0.5;
-const RLO: f64 = 0.5;
-const RHI: f64 = 1.0;
-const GF: f64 = 1.5;
-
 impl Policy {
-    pub fn new(_now: Time, seed: u64, tick: Span, op_types: Vec<OpType>, sender: Sender) -> Self {
-        let kinds = op_types.len();
+    pub fn new(
+        seed: u64,
+        tick: Span,
+        op_types: Vec<OpType>,
+        sender: Sender,
+        further: Further,
+        gate: Gate,
+        asking: Asking,
+    ) -> Self {
+        let (mean, kinds) = (Mean::default(), op_types.len());
         Policy {
             tick,
             rng: ChaCha8Rng::seed_from_u64(seed),
             op_types,
-            usual: vec![Default::default(); kinds],
-            all: Usual::default(),
-            spread: Spread::default(),
+            usual: vec![[(mean, mean); 2]; kinds],
+            all: mean,
+            mean,
+            deviation: mean,
+            work: 0.0,
             first_try: vec![(Span::ZERO, 0); kinds],
-            density: 0.0,
             sender,
-            further: Further::new(None),
-            limits: PartLimits { most_sends: 1, second_copies: false, may_withdraw: false },
-            quotas: Vec::new(),
-            over_share: 1.0,
-            longest_come_back: None,
-            by_work: false,
-            asking: Asking { every: None, next: None, failures: 0 },
+            further,
+            gate,
+            asking,
         }
     }
 
-    pub fn with_limits(mut self, limits: PartLimits, budget: Option<SendBudget>) -> Self {
-        self.limits = limits;
-        self.further = Further::new(budget);
-        self
-    }
-
-    pub fn with_tenants(mut self, now: Time, tenants: &[Tenant], over_share: f64, mixers: usize) -> Self {
-        let per_s = |t: &Tenant| t.quota_per_s / mixers.max(1) as f64;
-        self.quotas = tenants.iter().map(|t| Quota { per_s: per_s(t), tokens: per_s(t), at: now }).collect();
-        self.over_share = over_share;
-        self
-    }
-
-    pub fn with_importance(mut self, by_work: bool) -> Self {
-        self.by_work = by_work;
-        self
-    }
-
-    pub fn with_come_back(mut self, longest: Option<Span>) -> Self {
-        self.longest_come_back = longest;
-        self
-    }
-
-    /// Where the list must be asked for, it is asked for at once: a mixer that starts has an old one.
-    pub fn with_asking(mut self, now: Time, every: Option<Span>) -> Self {
-        self.asking.every = every;
-        self.asking.next = every.map(|_| now);
-        self
-    }
-
     /// Discovery told something.
     pub fn news(&mut self, now: Time, news: News) {
         match news {
@@ -501,9 +525,6 @@
         self.asking.failures = 0;
     }
 
-    /// A probe ended. The module asks for none yet.
-    pub fn probed(&mut self, _: Time, _: &SearcherId, _: Outcome, _: Span, _: Option<LoadReport>) {}
-
     /// Whose turn it is, in what order, and how long to wait for the next.
     pub fn wait(&mut self, now: Time, in_hand: &InHand) -> Wait {
         let open = || in_hand.values().filter(|m| !m.ended);
@@ -512,7 +533,7 @@
         let turn = turn.into_iter().map(|m| m.id.clone()).collect();
         let ask = self.asking.due(now);
         let next = open().map(|m| m.due).filter(|&due| due > now).chain(self.asking.next).min();
-        Wait { turn, ask, probe: Vec::new(), next: next.map(|at| at.since(now)) }
+        Wait { turn, ask, next: next.map(|at| at.since(now)) }
     }
 
     /// Where to send this multiget, or not yet, or never.
@@ -528,21 +549,13 @@
             return Advice { reply: Some(reply), ..Advice::default() };
         }
         if fresh && self.hopeless(now, mg) {
-            return Advice { reply: Some(self.give_up(now, mg)), ..Advice::default() };
+            return Advice { reply: Some(self.give_up(mg)), ..Advice::default() };
         }
         self.send_parts(now, mg)
     }
 
     /// What to do after this outcome of a send; the host has noted it in the multiget.
-    pub fn outcome(
-        &mut self,
-        now: Time,
-        mg: &Multiget,
-        part: usize,
-        nth: usize,
-        elapsed: Span,
-        _report: Option<LoadReport>,
-    ) -> Advice {
+    pub fn outcome(&mut self, now: Time, mg: &Multiget, part: usize, nth: usize, elapsed: Span) -> Advice {
         let (op, p) = (mg.op_type, &mg.parts[part]);
         let send = &p.sends[nth];
         let outcome = send.outcome.unwrap_or(Outcome::Moot);
@@ -572,77 +585,51 @@
 
     /// A part's expected work against that of a usual part.
     fn weight(&self, op: OpTypeId, part: &Part) -> f64 {
-        let usual = &self.usual[op.0][usize::from(part.second_step)];
-        let by_kind = if usual.count > 0.0 { usual.latency / self.all.latency } else { 1.0 };
-        let by_hint = match part.hint {
-            Some(hint) if usual.hint > 0.0 => hint.as_secs() / usual.hint,
-            _ => 1.0,
-        };
+        let (latency, hint) = &self.usual[op.0][usize::from(part.second_step)];
+        let by_kind = latency.known().map_or(1.0, |l| l / self.all.value);
+        let by_hint = part.hint.filter(|_| hint.value > 0.0).map_or(1.0, |h| h.as_secs() / hint.value);
         // Hints are rough and waiting does not grow with work: no more than a few times either way.
         (by_kind * by_hint).clamp(0.2, 8.0)
     }
 
     /// What a part takes beyond a usual one, in seconds.
     fn extra(&self, op: OpTypeId, part: &Part) -> f64 {
-        self.spread.work * (self.weight(op, part) - 1.0)
+        self.work * (self.weight(op, part) - 1.0)
     }
 
     fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
-        /// Long enough to hold through one searcher's trouble, short enough to follow a day.
-        const SAMPLES: f64 = 100.0;
-        let step = |count: &mut f64| {
-            *count = (*count + 1.0).min(SAMPLES);
-            1.0 / *count
-        };
-        let usual = &mut self.usual[op.0][usize::from(part.second_step)];
-        let by = step(&mut usual.count);
-        blend(&mut usual.latency, elapsed.as_secs(), by);
-        blend(&mut usual.hint, part.hint.map_or(0.0, Span::as_secs), by);
-        let by = step(&mut self.all.count);
-        blend(&mut self.all.latency, elapsed.as_secs(), by);
-        let by = step(&mut self.spread.count);
-        let off = (sample - self.spread.mean).abs();
-        blend(&mut self.spread.mean, sample, by);
-        if self.spread.count > 1.0 {
-            blend(&mut self.spread.deviation, off, by);
+        let (latency, hint) = &mut self.usual[op.0][usize::from(part.second_step)];
+        latency.feed(elapsed.as_secs());
+        hint.feed(part.hint.map_or(0.0, Span::as_secs));
+        self.all.feed(elapsed.as_secs());
+        if let Some(mean) = self.mean.known() {
+            self.deviation.feed((sample - mean).abs());
             // Falls tenfold as readily as it rises, so it settles near the low end.
-            let by = if sample < self.spread.work { 0.1 } else { 0.01 };
-            blend(&mut self.spread.work, sample, by);
+            let by = if sample < self.work { 0.1 } else { 0.01 };
+            blend(&mut self.work, sample, by);
         } else {
-            self.spread.work = sample;
+            self.work = sample;
         }
+        self.mean.feed(sample);
     }
 
     /// Notes a multiget that has just been taken.
     fn take(&mut self, now: Time, mg: &Multiget) {
-        self.further.took(now, mg.parts.len());
         /// Votes kept at most, so that a change of habit shows within as many multigets.
         const VOTES: i32 = 20;
-        let given = mg.ends.since(mg.arrived);
+        self.further.took(now, mg.parts.len());
+        self.gate.took(now, mg, self.worth(mg));
         let (usual, votes) = self.first_try[mg.op_type.0];
         self.first_try[mg.op_type.0] = match self.like_first(mg) {
             true => (usual, (votes + 1).min(VOTES)),
             false if votes > 0 => (usual, votes - 1),
-            false => (given, 1),
+            false => (mg.ends.since(mg.arrived), 1),
         };
-        let worth = self.worth(mg);
-        let by = if self.density > 0.0 { 0.02 } else { 1.0 };
-        blend(&mut self.density, worth, by);
-        if let Some(quota) = mg.tenant.and_then(|t| self.quotas.get_mut(t.0)) {
-            let gained = now.since(quota.at).as_secs() * quota.per_s;
-            quota.tokens = (quota.tokens + gained).min(quota.per_s) - 1.0;
-            quota.tokens = quota.tokens.max(-quota.per_s);
-            quota.at = now;
-        }
     }
 
-    /// Importance by unit of work; what exceeds its tenant's share is worth little.
     fn worth(&self, mg: &Multiget) -> f64 {
-        let parts = mg.parts.iter().map(|p| self.weight(mg.op_type, p));
-        let work: f64 = if self.by_work { 1.0 } else { parts.sum() };
-        let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
-        let share = if quota.is_some_and(|q| q.tokens < 0.0) { self.over_share } else { 1.0 };
-        self.op(mg).importance * share / work.max(0.1)
+        let work = mg.parts.iter().map(|p| self.weight(mg.op_type, p)).sum();
+        self.gate.worth(mg, self.op(mg).importance, work)
     }
 
     /// Time for the reply to reach the client: what comes in is handled once a tick, and a hop follows.
@@ -682,8 +669,7 @@
         }
         /// The slowest of a few parts takes about this many times the mean.
         const SLOWEST_OF_FEW: f64 = 2.5;
-        let usual = &self.usual[mg.op_type.0][1];
-        let takes = if usual.count > 0.0 { usual.latency } else { op.latency_budget.as_secs() / 8.0 };
+        let takes = self.usual[mg.op_type.0][1].0.known().unwrap_or(op.latency_budget.as_secs() / 8.0);
         end - Span::from_secs(takes * SLOWEST_OF_FEW).min(op.latency_budget.times(0.5))
     }
 
@@ -697,52 +683,57 @@
     fn reply(&self, now: Time, mg: &Multiget) -> Option<Reply> {
         /// Sums of weights may come up a little short.
         const SHORT: f64 = 1e-6;
-        let op = self.op(mg);
-        let first = mg.first_answer;
+        let (op, first) = (self.op(mg), mg.first_answer);
+        let over = now >= self.useful_end(mg);
         if Self::step(mg).next().is_none() {
-            return (now >= self.useful_end(mg)).then(|| self.give_up(now, mg));
+            return over.then(|| self.give_up(mg));
         }
-        let partial = op.least_share < op.need;
-        let (mut have, mut may) = (0.0, 0.0);
-        let mut all = true;
-        for (_, p) in Self::step(mg) {
-            let open =
-                !p.closed && (self.may_send(now, mg, p) || p.sends.iter().any(|s| s.outcome.is_none()));
-            have += if p.returned { p.weight } else { 0.0 };
-            may += if p.returned || open { p.weight } else { 0.0 };
-            all &= p.returned;
-        }
-        let whole = all || (first.is_none() && have + SHORT >= op.need);
-        if whole {
+        let weigh = |counts: &dyn Fn(&Part) -> bool| -> f64 {
+            Self::step(mg).filter(|(_, p)| counts(p)).map(|(_, p)| p.weight).sum()
+        };
+        let have = weigh(&|p| p.returned);
+        let may = weigh(&|p| p.returned || self.may_return(now, mg, p));
+        let all = Self::step(mg).all(|(_, p)| p.returned);
+        if all || (first.is_none() && have + SHORT >= op.need) {
             return Some(Reply::Answered { whole: first.unwrap_or(true) });
         }
-        let least = match first {
-            Some(_) if !partial => 1.0,
-            _ => op.least_share,
-        };
-        let enough = partial && have > 0.0 && have + SHORT >= least;
-        if enough && (now >= self.cut(mg) || may <= have) {
+        let partial = op.least_share < op.need;
+        let least = if first.is_some() && !partial { 1.0 } else { op.least_share };
+        if partial && have > 0.0 && have + SHORT >= least && (now >= self.cut(mg) || may <= have) {
             return Some(Reply::Answered { whole: false });
         }
-        let lost = may + SHORT < least;
-        (lost || now >= self.useful_end(mg)).then(|| self.give_up(now, mg))
+        (over || may + SHORT < least).then(|| self.give_up(mg))
     }
 
     /// Pushes back where a new try is surely harmless, with a time to come back; else it fails.
-    fn give_up(&self, _now: Time, mg: &Multiget) -> Reply {
+    fn give_up(&self, mg: &Multiget) -> Reply {
         let never_ran = |s: &Send| s.outcome.is_some_and(Outcome::never_ran);
         let clean = mg.parts.iter().flat_map(|p| &p.sends).all(never_ran);
         if self.op(mg).repeat != Repeat::Retriable && !clean {
             return Reply::Failed;
         }
-        // By then about one more round of work has been done.
-        let round = Span::from_secs(self.peers(mg.op_type) * 2.0);
-        Reply::PushedBack { come_back_in: self.longest_come_back.map(|longest| round.min(longest)) }
+        // By then about two more rounds of work have been done.
+        let rounds = Span::from_secs(self.peers(mg.op_type) * 2.0);
+        Reply::PushedBack { come_back_in: self.gate.longest_come_back.map(|longest| rounds.min(longest)) }
+    }
+
+    /// Whether an answer of this part may still come: a send is out, or one more may go to a holder in time.
+    /// Guards against work for a multiget that lacks all holders of a shard: it is given up at once.
+    fn may_return(&self, now: Time, mg: &Multiget, part: &Part) -> bool {
+        let out = part.sends.iter().any(|s| s.outcome.is_none());
+        let holders = || self.sender.holders(part.shard).next().is_some();
+        !part.closed && (out || (self.may_send(now, mg, part) && holders() && self.in_time(now, mg, part)))
+    }
+
+    /// Whether a send now has some chance to be back before the answer is worth nothing.
+    fn in_time(&self, now: Time, mg: &Multiget, part: &Part) -> bool {
+        let least = self.peers(mg.op_type) * 0.5 + self.extra(mg.op_type, part);
+        self.useful_end(mg).since(now) >= Span::from_secs(least)
     }
 
     /// Whether the rules allow another send of this part.
     fn may_send(&self, now: Time, mg: &Multiget, part: &Part) -> bool {
-        if part.returned || part.closed || part.sends.len() >= self.limits.most_sends {
+        if part.returned || part.closed || part.sends.len() >= self.further.limits.most_sends {
             return false;
         }
         let never_ran = |s: &&Send| s.outcome.is_some_and(Outcome::never_ran);
@@ -758,34 +749,36 @@
     /// least worth for its work first. A multiget takes as long as the slowest part that it needs; a
     /// replica with nothing of ours out is always worth a try, so that stale averages are found out.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
+        /// The slowest of a few parts takes half as much again as one is expected to.
+        const SLOWEST: f64 = 1.5;
         let left = self.budget_end(mg).since(now).as_secs();
         let peers = self.peers(mg.op_type);
-        let rank = (self.worth(mg) / self.density.max(1e-9)).powf(RANKP).clamp(RLO, RHI);
         let mut parts = Vec::new();
         for (_, p) in Self::step(mg) {
             if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
-                let takes = expected + self.extra(mg.op_type, p);
-                parts.push((if idle { 0.0 } else { takes }, p.weight));
+                let takes = if idle { 0.0 } else { expected + self.extra(mg.op_type, p) };
+                parts.push((takes, p.weight));
             }
         }
         parts.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut have = 0.0;
-        let needed = self.op(mg).least_share.min(self.op(mg).need) - 1e-6;
-        let slowest = parts.iter().find(|(_, weight)| {
-            have += weight;
-            have >= needed
+        let mut needed = self.op(mg).least_share.min(self.op(mg).need) - 1e-6;
+        let last_needed = parts.iter().find(|(_, weight)| {
+            needed -= weight;
+            needed <= 0.0
         });
-        slowest.is_some_and(|(takes, _)| takes * GF > left * rank)
+        last_needed.is_some_and(|(takes, _)| takes * SLOWEST > left * self.gate.room(self.worth(mg)))
     }
 
     /// How late a part of usual weight is when it is worth another send.
     fn patience(&self, peers: f64) -> f64 {
-        /// As for a retransmission: the mean and some deviations. More where the first send must be
-        /// given up for the second.
-        let deviations = if self.limits.second_copies { 10.0 } else { 15.0 };
-        let Spread { mean, deviation, count, .. } = self.spread;
-        if count < 10.0 { peers * 3.0 } else { mean + deviations * deviation }
+        /// Far out, where a part is stuck rather than late: a second copy of one that is merely late costs
+        /// more than it brings.
+        const DEVIATIONS: f64 = 10.0;
+        /// Where the first send must be given up for the second.
+        const DEVIATIONS_ALONE: f64 = 15.0;
+        let deviations = if self.further.limits.second_copies { DEVIATIONS } else { DEVIATIONS_ALONE };
+        if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + deviations * self.deviation.value }
     }
 
     fn send_parts(&mut self, now: Time, mg: &Multiget) -> Advice {
@@ -810,7 +803,7 @@
                     continue;
                 }
             }
-            if !self.may_send(now, mg, p) || left < Span::from_secs(peers * 0.5 + extra) {
+            if !self.may_send(now, mg, p) || !self.in_time(now, mg, p) {
                 continue;
             }
             let further = !p.sends.is_empty();
@@ -826,16 +819,19 @@
                     wake = wake.min(now + span.max(self.tick));
                     continue;
                 }
-                Pick::Nowhere => continue,
+                Pick::Nowhere => {
+                    wake = wake.min(now + Span::from_secs(peers).max(self.tick));
+                    continue;
+                }
             };
             if !open.is_empty() {
+                let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
                 if tried.contains(&&to) {
                     continue;
                 }
-                if !self.limits.second_copies {
-                    if self.limits.may_withdraw {
-                        advice.withdraw.extend(open.iter().map(|&nth| (place, nth)));
-                    }
+                if !second_copies {
+                    let given_up = open.iter().filter(|_| may_withdraw);
+                    advice.withdraw.extend(given_up.map(|&nth| (place, nth)));
                     continue;
                 }
             } else if let Some(failed) = p.sends.iter().rev().find(|s| s.to == to) {
@@ -852,7 +848,7 @@
             if let Some(searcher) = self.sender.searchers.get_mut(&to) {
                 searcher.sent(now, extra);
             }
-            let alone = !self.limits.second_copies && !self.limits.may_withdraw;
+            let alone = !self.further.limits.second_copies && !self.further.limits.may_withdraw;
             let timeout = if alone { late.min(left) } else { left };
             wake = wake.min(now + late);
             advice.orders.push(Order { part: place, to, timeout });
