--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -172,6 +172,12 @@
     pub in_a_row: usize,
 }
 
+impl Layout {
+    pub fn holds(&self, cell: Cell, shard: Shard) -> bool {
+        (cell.0 + self.cells - shard.0 % self.cells) % self.cells < self.in_a_row
+    }
+}
+
 /// The figures of the rule on cold searchers.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
@@ -273,6 +279,13 @@
     pub closed: bool,
 }
 
+impl Part {
+    /// The first of its sends that is not known never to have run.
+    pub fn first_that_may_have_run(&self) -> Option<&Send> {
+        self.sends.iter().find(|s| !s.outcome.is_some_and(Outcome::never_ran))
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Multiget {
     pub id: MultigetId,
@@ -296,7 +309,15 @@
     pub ended: bool,
 }
 
-/// Sends for a part that the module orders.
+impl Multiget {
+    /// The parts of the step that is on, with their places.
+    pub fn step(&self) -> impl Iterator<Item = (usize, &Part)> {
+        let second = self.first_answer.is_some();
+        self.parts.iter().enumerate().filter(move |(_, p)| p.second_step == second)
+    }
+}
+
+/// A send of a part that the module orders.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
     /// Place of the part in the multiget.
@@ -327,7 +348,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ask {
     Subscribe,
-    List,
 }
 
 /// How long to wait, and what is due before.
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -9,8 +9,7 @@
 //! The ordinary path is the hybrid server selector of the Pinot resiliency talk; `docs/design.md` says what
 //! was kept, what was changed and when each exception acts.
 
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -43,10 +42,7 @@
 
 /// What is known of one searcher; nothing about it is kept anywhere else.
 struct Searcher {
-    cell: Cell,
-    zone: Option<Zone>,
-    state: SearcherState,
-    listed_start: Option<Time>,
+    listed: Listed,
     /// When it began to warm up, by the list or by its symptoms.
     cold_since: Option<Time>,
     /// This mixer's sends out at it: when each left and what its work adds to a usual part's seconds.
@@ -67,21 +63,10 @@
 const NEWEST: f64 = 1.0 / 3.0;
 
 impl Searcher {
-    fn new(now: Time, listed: &Listed) -> Self {
-        Searcher {
-            cell: listed.cell,
-            zone: listed.zone,
-            state: listed.state,
-            listed_start: listed.up_since,
-            cold_since: listed.up_since,
-            out: Vec::new(),
-            queue: 0.0,
-            latency: None,
-            good: 1.0,
-            heard: now,
-            last_send: None,
-            down_since: None,
-        }
+    fn new(now: Time, listed: Listed) -> Self {
+        let (cold_since, out, queue, latency, good) = (listed.up_since, Vec::new(), 0.0, None, 1.0);
+        let (heard, last_send, down_since) = (now, None, None);
+        Searcher { listed, cold_since, out, queue, latency, good, heard, last_send, down_since }
     }
 
     /// The share of its capacity that it surely has: a searcher that starts cold warms up evenly.
@@ -91,14 +76,6 @@
         (cold.starts_at + (1.0 - cold.starts_at) * warmth).min(1.0)
     }
 
-    /// A restart under the same id: what was learned was of another process.
-    fn restarted(&mut self, start: Time) {
-        self.cold_since = Some(start);
-        self.latency = None;
-        self.good = 1.0;
-        self.down_since = None;
-    }
-
     fn sent(&mut self, now: Time, extra: f64) {
         self.out.push((now, extra));
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
@@ -115,69 +92,50 @@
         }
         // Waiting is common to all parts, work is not: what is more than usual of it comes off.
         let sample = (elapsed.as_secs() - extra).max(elapsed.as_secs() * 0.2);
-        let fed = match outcome {
-            Outcome::Returned => sample,
-            _ => sample.max(peers).max(self.latency.unwrap_or(0.0)),
-        };
-        let average = self.settled(now, peers);
-        self.latency = Some(average.map_or(fed, |a| a + (fed - a) * NEWEST));
-        self.good = self.goodness(now);
-        match outcome {
-            Outcome::Returned => blend(&mut self.good, 1.0, NEWEST),
-            Outcome::Withdrawn => {}
-            _ => blend(&mut self.good, 0.0, NEWEST),
+        let returned = outcome == Outcome::Returned;
+        let fed = if returned { sample } else { sample.max(peers).max(self.latency.unwrap_or(0.0)) };
+        let learned = self.learned(now, peers);
+        self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * NEWEST));
+        self.good = learned.1;
+        if outcome != Outcome::Withdrawn {
+            blend(&mut self.good, f64::from(returned), NEWEST);
         }
         self.heard = now;
-        self.vital_sign(now, outcome);
-        (outcome == Outcome::Returned).then_some(sample)
-    }
-
-    /// Guards against a process that came back cold before any list said so: silence or a broken
-    /// connection, then an answer. A mere pause is shorter than `DEAD_FOR`; after a long hang that was no
-    /// restart, it costs the searcher some traffic for one ramp.
-    fn vital_sign(&mut self, now: Time, outcome: Outcome) {
-        /// Longer than any pause or queue seen, shorter than a process needs to start.
+        // Guards against a process that came back cold before any list said so: silence or a broken
+        // connection, then an answer. After a long hang that was no restart, it costs the searcher some
+        // traffic for one ramp; mere pauses and queues are shorter than `DEAD_FOR`.
         const DEAD_FOR: Span = Span::from_millis(2_000);
-        match outcome {
-            Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut => {
-                self.down_since.get_or_insert(now);
+        match (outcome, self.down_since) {
+            (Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut, None) => {
+                self.down_since = Some(now)
             }
-            Outcome::Returned | Outcome::Error => {
-                if let Some(since) = self.down_since.take()
-                    && now.since(since) > DEAD_FOR
-                    && self.cold_since.is_none_or(|start| start < since)
-                {
+            (Outcome::Returned | Outcome::Error, Some(since)) => {
+                self.down_since = None;
+                if now.since(since) > DEAD_FOR && self.cold_since.is_none_or(|start| start < since) {
                     self.cold_since = Some(now);
                 }
             }
             _ => {}
         }
+        returned.then_some(sample)
     }
 
-    /// How far what was learned still counts. A replica slowed once gets few parts to correct its average,
-    /// so with nothing out and nothing heard its figures drift to its peers'.
-    fn memory(&self, now: Time) -> f64 {
-        /// A few seconds: a trial part every so often while trouble lasts, soon back after it.
+    /// Its latency average and share of good sends, as far as they still count. A replica slowed once gets
+    /// few parts to correct its average, so with nothing out or heard its figures drift to its peers'.
+    fn learned(&self, now: Time, peers: f64) -> (f64, f64) {
+        /// A trial part now and then while a trouble of usual length lasts; a few seconds were too eager.
         const HALF_LIFE_S: f64 = 20.0;
-        if !self.out.is_empty() {
-            return 1.0;
-        }
-        0.5f64.powf(now.since(self.heard).as_secs() / HALF_LIFE_S)
-    }
-
-    fn settled(&self, now: Time, peers: f64) -> Option<f64> {
-        self.latency.map(|l| peers + (l - peers) * self.memory(now))
-    }
-
-    fn goodness(&self, now: Time) -> f64 {
-        1.0 + (self.good - 1.0) * self.memory(now)
+        let idle = if self.out.is_empty() { now.since(self.heard).as_secs() } else { 0.0 };
+        let memory = 0.5f64.powf(idle / HALF_LIFE_S);
+        let latency = self.latency.unwrap_or(peers);
+        (peers + (latency - peers) * memory, 1.0 + (self.good - 1.0) * memory)
     }
 
     /// What a part of usual weight is expected to take here, in seconds.
     fn expected(&self, now: Time, peers: f64, cold: &ColdRule) -> f64 {
         // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
         let oldest = self.out.iter().map(|(at, extra)| now.since(*at).as_secs() - extra).fold(0.0, f64::max);
-        let learned = self.settled(now, peers).unwrap_or(peers);
+        let (learned, _) = self.learned(now, peers);
         // One that starts cold looks empty: it is expected to be slow until it has had time to warm.
         learned.max(oldest).max(peers / self.capacity(now, cold))
     }
@@ -190,67 +148,56 @@
     home: Option<Zone>,
     cross_zone_price: f64,
     searchers: BTreeMap<SearcherId, Searcher>,
-    /// Parts of usual weight returned of late, fading out over `FLOW_S`.
-    flow: f64,
-    flow_at: Option<Time>,
+    /// Parts of usual weight returned of late, fading out over `FLOW_S`, and as of when.
+    flow: (f64, Time),
 }
 
 /// The window over which own traffic is measured: some seconds, to ride over bursts.
 const FLOW_S: f64 = 5.0;
 
-/// Where a part may go.
-enum Pick {
-    Go(SearcherId, f64),
-    /// Only cold replicas, each at its limit for now.
-    In(Span),
-    Nowhere,
-}
+/// Where a part may go and what it is expected to take there. If nowhere: when a cold replica, now at its
+/// limit, may be asked.
+type Pick = Result<(SearcherId, f64), Option<Span>>;
 
 impl Sender {
-    pub fn new(layout: Layout, cold: ColdRule, home: Option<Zone>, cross_zone_price: f64) -> Self {
+    pub fn new(now: Time, layout: Layout, cold: ColdRule, home: Option<Zone>, cross_zone_price: f64) -> Self {
         let searchers = BTreeMap::new();
-        Sender { layout, cold, home, cross_zone_price, searchers, flow: 0.0, flow_at: None }
+        Sender { layout, cold, home, cross_zone_price, searchers, flow: (0.0, now) }
     }
 
-    fn news(&mut self, now: Time, listed: &[Listed], complete: bool) {
-        if complete {
-            for (id, searcher) in &mut self.searchers {
-                if !listed.iter().any(|l| l.id == *id) {
-                    searcher.state = SearcherState::Gone;
-                }
+    fn news(&mut self, now: Time, list: Vec<Listed>, complete: bool) {
+        for (id, searcher) in self.searchers.iter_mut().filter(|_| complete) {
+            if !list.iter().any(|line| line.id == *id) {
+                searcher.listed.state = SearcherState::Gone;
             }
         }
-        for line in listed {
-            let searcher = self.searchers.entry(line.id.clone()).or_insert_with(|| Searcher::new(now, line));
-            searcher.state = line.state;
-            if line.state == SearcherState::Gone {
-                continue;
-            }
-            (searcher.cell, searcher.zone) = (line.cell, line.zone);
-            if line.up_since > searcher.listed_start {
-                searcher.listed_start = line.up_since;
-                searcher.restarted(line.up_since.unwrap_or(now));
+        for line in list {
+            let entry = self.searchers.entry(line.id.clone());
+            let searcher = entry.or_insert_with(|| Searcher::new(now, line.clone()));
+            let start = line.up_since.max(searcher.listed.up_since);
+            if start > searcher.listed.up_since {
+                // A restart under the same id: what was learned was of another process.
+                (searcher.cold_since, searcher.down_since) = (start, None);
+                (searcher.latency, searcher.good) = (None, 1.0);
             }
+            searcher.listed = Listed { up_since: start, ..line };
         }
-        self.searchers.retain(|_, s| s.state != SearcherState::Gone || !s.out.is_empty());
+        self.searchers.retain(|_, s| s.listed.state != SearcherState::Gone || !s.out.is_empty());
     }
 
     /// The middle latency average of those heard from; with none, `start`. The design says the mean: one
     /// dead searcher's time-outs would then make all others look slow and shut the gate.
     fn peers(&self, start: f64) -> f64 {
-        let heard = self.searchers.values().filter(|s| s.state == SearcherState::Up);
+        let heard = self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
         let mut heard: Vec<f64> = heard.filter_map(|s| s.latency).collect();
         heard.sort_by(f64::total_cmp);
         heard.get(heard.len() / 2).copied().unwrap_or(start)
     }
 
-    fn flowed(&mut self, now: Time, weight: f64) {
-        self.flow = self.flow_now(now) + weight;
-        self.flow_at = Some(now);
-    }
-
-    fn flow_now(&self, now: Time) -> f64 {
-        self.flow_at.map_or(0.0, |at| self.flow * (-now.since(at).as_secs() / FLOW_S).exp())
+    /// Parts of usual weight returned of late, of which `more` just now.
+    fn flow(&self, now: Time, more: f64) -> f64 {
+        let (flow, at) = self.flow;
+        flow * (-now.since(at).as_secs() / FLOW_S).exp() + more
     }
 
     /// How long after its last send a cold searcher may get its next, spread evenly over the rule's window.
@@ -263,9 +210,9 @@
         if capacity >= 1.0 {
             return Span::ZERO;
         }
-        let warm = |s: &&Searcher| s.state == SearcherState::Up && s.capacity(now, &self.cold) >= 1.0;
+        let warm = |s: &&Searcher| s.listed.state == SearcherState::Up && s.capacity(now, &self.cold) >= 1.0;
         let warm = self.searchers.values().filter(warm).count().max(1);
-        let rate = self.flow_now(now) / FLOW_S / warm as f64;
+        let rate = self.flow(now, 0.0) / FLOW_S / warm as f64;
         let allowed = SHARE_USED * self.cold.fall_multiple * capacity * rate;
         // A mixer that has just started knows no rate: one part a window.
         let window = self.cold.tip_after.as_secs();
@@ -274,9 +221,9 @@
 
     /// The searchers that hold a shard and are neither draining nor gone.
     fn holders(&self, shard: Shard) -> impl Iterator<Item = (&SearcherId, &Searcher)> {
-        let Layout { cells, in_a_row } = self.layout;
-        let holds = move |cell: Cell| (cell.0 + cells - shard.0 % cells) % cells < in_a_row;
-        self.searchers.iter().filter(move |(_, s)| s.state == SearcherState::Up && holds(s.cell))
+        self.searchers.iter().filter(move |(_, s)| {
+            s.listed.state == SearcherState::Up && self.layout.holds(s.listed.cell, shard)
+        })
     }
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
@@ -286,7 +233,8 @@
         const N: i32 = 3;
         /// How many times its price a crossing weighs on the latency: enough to break ties at equal queues.
         const CROSSING: f64 = 200.0;
-        let mut best: Option<(bool, f64, u32, &SearcherId, f64)> = None;
+        type Entry<'a> = (bool, f64, u32, &'a SearcherId, f64);
+        let mut best: Option<Entry> = None;
         let mut soonest: Option<Span> = None;
         for (id, s) in self.holders(shard) {
             let gap = self.cold_gap(now, s);
@@ -297,25 +245,17 @@
             }
             let expected = s.expected(now, peers, &self.cold);
             let queue = s.out.len() as f64 + s.queue + 1.0;
-            let far = s.zone.is_some() && s.zone != self.home;
+            let far = s.listed.zone.is_some() && s.listed.zone != self.home;
             let crossing = if far { 1.0 + CROSSING * self.cross_zone_price } else { 1.0 };
             // One that fails fast looks quick and empty: what counts is the time to an answer, and a part
             // has few sends, so failures weigh twice.
-            let failing = s.goodness(now).max(0.05).powi(2);
+            let failing = s.learned(now, peers).1.max(0.05).powi(2);
             let score = queue.powi(N) * expected * crossing / failing;
             let entry = (not.contains(&id), score, rng.random::<u32>(), id, expected / failing);
-            let better = |b: &(bool, f64, u32, &SearcherId, f64)| {
-                entry.0.cmp(&b.0).then(entry.1.total_cmp(&b.1)).then(entry.2.cmp(&b.2)) == Ordering::Less
-            };
-            if best.as_ref().is_none_or(better) {
-                best = Some(entry);
-            }
-        }
-        match (best, soonest) {
-            (Some((_, _, _, id, expected)), _) => Pick::Go(id.clone(), expected),
-            (None, Some(span)) => Pick::In(span),
-            (None, None) => Pick::Nowhere,
+            let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
+            best = best.into_iter().chain([entry]).min_by(order);
         }
+        best.map(|(_, _, _, id, expected)| (id.clone(), expected)).ok_or(soonest)
     }
 }
 
@@ -327,54 +267,42 @@
     tokens: f64,
     /// EWMA of the share of further sends that brought their part's answer.
     helped: f64,
-    taken: VecDeque<Time>,
-    made: VecDeque<Time>,
+    taken: Vec<Time>,
+    made: Vec<Time>,
 }
 
 impl Further {
     /// Starts with a few in hand, so that a mixer that has just started can meet a failure.
     pub fn new(limits: PartLimits, budget: Option<SendBudget>) -> Self {
-        let (taken, made) = (VecDeque::new(), VecDeque::new());
+        let (taken, made) = (Vec::new(), Vec::new());
         Further { limits, budget, tokens: 5.0, helped: 0.5, taken, made }
     }
 
     /// A multiget with so many parts was taken.
     fn took(&mut self, now: Time, parts: usize) {
-        /// Even when none helps, a few are made, to learn when they help again.
+        // Even when none helps, a few are made, to learn when they help again. Some are saved, so that a
+        // burst of failures, such as one searcher's death, is met at once.
         const LEAST: f64 = 0.03;
-        /// A burst of failures, such as one searcher's death, is met at once.
         const MOST_SAVED: f64 = 20.0;
         self.tokens = (self.tokens + parts as f64 * (LEAST + self.helped)).min(MOST_SAVED);
-        if self.budget.is_some() {
-            self.taken.extend(std::iter::repeat_n(now, parts + 1));
-        }
+        let counted = if self.budget.is_some() { parts + 1 } else { 0 };
+        self.taken.extend(std::iter::repeat_n(now, counted));
     }
 
     fn allowed(&mut self, now: Time) -> bool {
         if let Some(SendBudget { free, share, window }) = self.budget {
-            let recent = |times: &mut VecDeque<Time>| {
-                while times.front().is_some_and(|&at| now.since(at) >= window) {
-                    times.pop_front();
-                }
-                times.len() as f64
-            };
-            if recent(&mut self.made) + 1.0 > free + share * recent(&mut self.taken) {
-                return false;
-            }
+            // At the very edge of the window, sends made count and requests taken do not.
+            self.made.retain(|&at| now.since(at) <= window);
+            self.taken.retain(|&at| now.since(at) < window);
+            let room = free + share * self.taken.len() as f64;
+            return self.tokens >= 1.0 && self.made.len() as f64 + 1.0 <= room;
         }
         self.tokens >= 1.0
     }
 
     fn made(&mut self, now: Time) {
         self.tokens -= 1.0;
-        if self.budget.is_some() {
-            self.made.push_back(now);
-        }
-    }
-
-    fn ended(&mut self, brought_answer: bool) {
-        // About the last ten.
-        blend(&mut self.helped, f64::from(brought_answer), 0.1);
+        self.made.extend(self.budget.map(|_| now));
     }
 }
 
@@ -391,43 +319,30 @@
         Asking { every, next: every.map(|_| now), failures: 0 }
     }
 
-    fn due(&mut self, now: Time) -> Option<Ask> {
-        self.next.filter(|&at| at <= now)?;
-        self.next = None;
-        Some(Ask::Subscribe)
-    }
-
     /// Asks again with spread and back-off, yet far within the time after which silence counts as told.
     fn refused(&mut self, now: Time, rng: &mut ChaCha8Rng) {
-        /// About as long as one call takes.
-        const FIRST_S: f64 = 0.4;
         let Some(every) = self.every else { return };
-        let back_off = (FIRST_S * 2f64.powi(self.failures)).min(every.as_secs() / 4.0);
+        // First after about as long as a call takes.
+        let back_off = (0.4 * 2f64.powi(self.failures)).min(every.as_secs() / 4.0);
         self.failures += 1;
         self.next = Some(now + Span::from_secs(back_off * rng.random_range(0.5..1.5)));
     }
 }
 
-/// A tenant's room within its share.
-struct Quota {
-    per_s: f64,
-    tokens: f64,
-    at: Time,
-}
-
 /// What multigets are worth against each other, and which tenants exceed their share.
 pub struct Gate {
-    quotas: Vec<Quota>,
+    /// For each tenant: its share a second here, its room within it, and as of when.
+    quotas: Vec<(f64, f64, Time)>,
     over_share: f64,
     /// Importance is counted by unit of work, not by multiget.
     by_work: bool,
+    /// The longest time to come back that clients keep to, if they are told one.
     longest_come_back: Option<Span>,
     /// Importance asked for by unit of work, on average.
     density: f64,
 }
 
 impl Gate {
-    /// `longest_come_back`: the longest time to come back that clients keep to, if they are told one.
     pub fn new(
         now: Time,
         tenants: &[Tenant],
@@ -436,27 +351,25 @@
         by_work: bool,
         longest_come_back: Option<Span>,
     ) -> Self {
-        let per_s = |t: &Tenant| t.quota_per_s / mixers.max(1) as f64;
-        let quotas = tenants.iter().map(|t| Quota { per_s: per_s(t), tokens: per_s(t), at: now }).collect();
+        let shares = tenants.iter().map(|t| t.quota_per_s / mixers.max(1) as f64);
+        let quotas = shares.map(|share| (share, share, now)).collect();
         Gate { quotas, over_share, by_work, longest_come_back, density: 0.0 }
     }
 
     fn took(&mut self, now: Time, mg: &Multiget, worth: f64) {
-        /// Moves over some fifty multigets.
-        const BY: f64 = 0.02;
-        let by = if self.density > 0.0 { BY } else { 1.0 };
+        // Moves over some fifty multigets.
+        let by = if self.density > 0.0 { 0.02 } else { 1.0 };
         blend(&mut self.density, worth, by);
-        if let Some(quota) = mg.tenant.and_then(|t| self.quotas.get_mut(t.0)) {
-            let gained = now.since(quota.at).as_secs() * quota.per_s;
-            quota.tokens = ((quota.tokens + gained).min(quota.per_s) - 1.0).max(-quota.per_s);
-            quota.at = now;
+        if let Some((share, room, at)) = mg.tenant.and_then(|t| self.quotas.get_mut(t.0)) {
+            let gained = now.since(*at).as_secs() * *share;
+            (*room, *at) = (((*room + gained).min(*share) - 1.0).max(-*share), now);
         }
     }
 
     /// Importance by unit of work; what exceeds its tenant's share is worth little.
     fn worth(&self, mg: &Multiget, importance: f64, work: f64) -> f64 {
         let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
-        let share = if quota.is_some_and(|q| q.tokens < 0.0) { self.over_share } else { 1.0 };
+        let share = if quota.is_some_and(|(_, room, _)| *room < 0.0) { self.over_share } else { 1.0 };
         importance * share / if self.by_work { 1.0 } else { work.max(0.1) }
     }
 
@@ -518,8 +431,8 @@
     /// Discovery told something.
     pub fn news(&mut self, now: Time, news: News) {
         match news {
-            News::Changes(list) => self.sender.news(now, &list, false),
-            News::All(list) | News::Remembered(list) => self.sender.news(now, &list, true),
+            News::Changes(list) => self.sender.news(now, list, false),
+            News::All(list) | News::Remembered(list) => self.sender.news(now, list, true),
             News::Refused => return self.asking.refused(now, &mut self.rng),
         }
         self.asking.failures = 0;
@@ -531,7 +444,7 @@
         let mut turn: Vec<&Multiget> = open().filter(|m| m.due <= now).collect();
         turn.sort_by(|a, b| self.worth(b).total_cmp(&self.worth(a)).then(a.number.cmp(&b.number)));
         let turn = turn.into_iter().map(|m| m.id.clone()).collect();
-        let ask = self.asking.due(now);
+        let ask = self.asking.next.take_if(|at| *at <= now).map(|_| Ask::Subscribe);
         let next = open().map(|m| m.due).filter(|&due| due > now).chain(self.asking.next).min();
         Wait { turn, ask, next: next.map(|at| at.since(now)) }
     }
@@ -545,13 +458,11 @@
         if fresh && mg.arrived == now {
             self.take(now, mg);
         }
-        if let Some(reply) = self.reply(now, mg) {
-            return Advice { reply: Some(reply), ..Advice::default() };
+        let mut reply = self.reply(now, mg);
+        if reply.is_none() && fresh && self.hopeless(now, mg) {
+            reply = Some(self.give_up(mg));
         }
-        if fresh && self.hopeless(now, mg) {
-            return Advice { reply: Some(self.give_up(mg)), ..Advice::default() };
-        }
-        self.send_parts(now, mg)
+        if reply.is_some() { Advice { reply, ..Advice::default() } } else { self.send_parts(now, mg) }
     }
 
     /// What to do after this outcome of a send; the host has noted it in the multiget.
@@ -565,11 +476,12 @@
         {
             let weight = self.weight(op, p);
             self.learn(op, p, elapsed, sample);
-            self.sender.flowed(now, weight);
+            self.sender.flow = (self.sender.flow(now, weight), now);
         }
         if nth > 0 && outcome != Outcome::Moot {
             let first = p.sends.iter().filter(|s| s.outcome == Some(Outcome::Returned)).count() == 1;
-            self.further.ended(outcome == Outcome::Returned && first);
+            // About the last ten further sends.
+            blend(&mut self.further.helped, f64::from(outcome == Outcome::Returned && first), 0.1);
         }
         self.place(now, mg)
     }
@@ -578,7 +490,7 @@
         &self.op_types[mg.op_type.0]
     }
 
-    /// The mean latency average of all searchers heard from, or half the latency budget.
+    /// The middle latency average of all searchers heard from, or half the latency budget.
     fn peers(&self, op: OpTypeId) -> f64 {
         self.sender.peers(self.op_types[op.0].latency_budget.as_secs() / 2.0)
     }
@@ -673,27 +585,21 @@
         end - Span::from_secs(takes * SLOWEST_OF_FEW).min(op.latency_budget.times(0.5))
     }
 
-    /// Parts of the step that is on.
-    fn step(mg: &Multiget) -> impl Iterator<Item = (usize, &Part)> {
-        let second = mg.first_answer.is_some();
-        mg.parts.iter().enumerate().filter(move |(_, p)| p.second_step == second)
-    }
-
     /// The final answer, if it is time for one.
     fn reply(&self, now: Time, mg: &Multiget) -> Option<Reply> {
         /// Sums of weights may come up a little short.
         const SHORT: f64 = 1e-6;
         let (op, first) = (self.op(mg), mg.first_answer);
         let over = now >= self.useful_end(mg);
-        if Self::step(mg).next().is_none() {
+        if mg.step().next().is_none() {
             return over.then(|| self.give_up(mg));
         }
         let weigh = |counts: &dyn Fn(&Part) -> bool| -> f64 {
-            Self::step(mg).filter(|(_, p)| counts(p)).map(|(_, p)| p.weight).sum()
+            mg.step().filter(|(_, p)| counts(p)).map(|(_, p)| p.weight).sum()
         };
         let have = weigh(&|p| p.returned);
         let may = weigh(&|p| p.returned || self.may_return(now, mg, p));
-        let all = Self::step(mg).all(|(_, p)| p.returned);
+        let all = mg.step().all(|(_, p)| p.returned);
         if all || (first.is_none() && have + SHORT >= op.need) {
             return Some(Reply::Answered { whole: first.unwrap_or(true) });
         }
@@ -707,9 +613,8 @@
 
     /// Pushes back where a new try is surely harmless, with a time to come back; else it fails.
     fn give_up(&self, mg: &Multiget) -> Reply {
-        let never_ran = |s: &Send| s.outcome.is_some_and(Outcome::never_ran);
-        let clean = mg.parts.iter().flat_map(|p| &p.sends).all(never_ran);
-        if self.op(mg).repeat != Repeat::Retriable && !clean {
+        let may_have_run = mg.parts.iter().any(|p| p.first_that_may_have_run().is_some());
+        if self.op(mg).repeat != Repeat::Retriable && may_have_run {
             return Reply::Failed;
         }
         // By then about two more rounds of work have been done.
@@ -736,8 +641,7 @@
         if part.returned || part.closed || part.sends.len() >= self.further.limits.most_sends {
             return false;
         }
-        let never_ran = |s: &&Send| s.outcome.is_some_and(Outcome::never_ran);
-        let Some(ran) = part.sends.iter().find(|s| !never_ran(s)) else { return true };
+        let Some(ran) = part.first_that_may_have_run() else { return true };
         match self.op(mg).repeat {
             Repeat::Retriable => true,
             Repeat::Deduped(window) => now.since(ran.at) + self.margin() < window,
@@ -754,8 +658,8 @@
         let left = self.budget_end(mg).since(now).as_secs();
         let peers = self.peers(mg.op_type);
         let mut parts = Vec::new();
-        for (_, p) in Self::step(mg) {
-            if let Pick::Go(id, expected) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
+        for (_, p) in mg.step() {
+            if let Ok((id, expected)) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
                 let takes = if idle { 0.0 } else { expected + self.extra(mg.op_type, p) };
                 parts.push((takes, p.weight));
@@ -772,69 +676,54 @@
 
     /// How late a part of usual weight is when it is worth another send.
     fn patience(&self, peers: f64) -> f64 {
-        /// Far out, where a part is stuck rather than late: a second copy of one that is merely late costs
-        /// more than it brings.
-        const DEVIATIONS: f64 = 10.0;
-        /// Where the first send must be given up for the second.
-        const DEVIATIONS_ALONE: f64 = 15.0;
-        let deviations = if self.further.limits.second_copies { DEVIATIONS } else { DEVIATIONS_ALONE };
+        // Far out, where a part is stuck rather than late: a second copy of one that is merely late costs
+        // more than it brings. Farther where the first send must be given up for the second.
+        let deviations = if self.further.limits.second_copies { 10.0 } else { 15.0 };
         if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + deviations * self.deviation.value }
     }
 
     fn send_parts(&mut self, now: Time, mg: &Multiget) -> Advice {
         let mut advice = Advice::default();
-        let op = mg.op_type;
-        let peers = self.peers(op);
-        let end = self.useful_end(mg);
-        let left = end.since(now);
-        let mut wake = if now < self.cut(mg) { self.cut(mg) } else { end };
+        let (op, peers) = (mg.op_type, self.peers(mg.op_type));
+        let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
+        let (cut, end) = (self.cut(mg), self.useful_end(mg));
+        let mut wake = if now < cut { cut } else { end };
         let patience = self.patience(peers);
-        let mut turn: Vec<(usize, &Part)> =
-            Self::step(mg).filter(|(_, p)| !p.returned && !p.closed).collect();
+        let mut turn: Vec<_> = mg.step().filter(|(_, p)| !p.returned && !p.closed).collect();
         turn.sort_by(|a, b| self.weight(op, b.1).total_cmp(&self.weight(op, a.1)).then(a.0.cmp(&b.0)));
         for (place, p) in turn {
             let extra = self.extra(op, p);
             let late = Span::from_secs(patience + extra).max(self.tick);
-            let open: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
-            if let Some(&last) = open.last() {
-                let late = p.sends[last].at + late;
-                if late > now {
-                    wake = wake.min(late);
-                    continue;
-                }
+            let out: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
+            if let Some(due) = out.last().map(|&last| p.sends[last].at + late).filter(|&due| due > now) {
+                wake = wake.min(due);
+                continue;
             }
             if !self.may_send(now, mg, p) || !self.in_time(now, mg, p) {
                 continue;
             }
-            let further = !p.sends.is_empty();
+            let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
+            let further = !tried.is_empty();
+            let mut pick = self.sender.pick(now, p.shard, &tried, peers, &mut self.rng);
             if further && !self.further.allowed(now) {
-                wake = wake.min(now + Span::from_secs(peers * 0.5).max(self.tick));
-                continue;
+                pick = Err(None);
             }
-            let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
-            let pick = self.sender.pick(now, p.shard, &tried, peers, &mut self.rng);
             let to = match pick {
-                Pick::Go(to, _) => to,
-                Pick::In(span) => {
-                    wake = wake.min(now + span.max(self.tick));
-                    continue;
-                }
-                Pick::Nowhere => {
-                    wake = wake.min(now + Span::from_secs(peers).max(self.tick));
+                Ok((to, _)) => to,
+                Err(soonest) => {
+                    let again = soonest.unwrap_or(Span::from_secs(peers * 0.5));
+                    wake = wake.min(now + again.max(self.tick));
                     continue;
                 }
             };
-            if !open.is_empty() {
-                let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
-                if tried.contains(&&to) {
-                    continue;
-                }
-                if !second_copies {
-                    let given_up = open.iter().filter(|_| may_withdraw);
-                    advice.withdraw.extend(given_up.map(|&nth| (place, nth)));
+            let before = p.sends.iter().rev().find(|s| s.to == to);
+            if !out.is_empty() {
+                let given_up = out.iter().filter(|_| may_withdraw && !second_copies && before.is_none());
+                advice.withdraw.extend(given_up.map(|&nth| (place, nth)));
+                if before.is_some() || !second_copies {
                     continue;
                 }
-            } else if let Some(failed) = p.sends.iter().rev().find(|s| s.to == to) {
+            } else if let Some(failed) = before {
                 // Its only replicas have failed it: not again before they have had some time.
                 let again = failed.at + Span::from_secs(peers * p.sends.len() as f64);
                 if again > now {
@@ -848,8 +737,8 @@
             if let Some(searcher) = self.sender.searchers.get_mut(&to) {
                 searcher.sent(now, extra);
             }
-            let alone = !self.further.limits.second_copies && !self.further.limits.may_withdraw;
-            let timeout = if alone { late.min(left) } else { left };
+            let left = end.since(now);
+            let timeout = if second_copies || may_withdraw { left } else { late.min(left) };
             wake = wake.min(now + late);
             advice.orders.push(Order { part: place, to, timeout });
         }
