--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -689,9 +689,7 @@
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
         let mut wake = if now < cut { cut } else { end };
         let patience = self.patience(peers);
-        let mut turn: Vec<_> = mg.step().filter(|(_, p)| !p.returned && !p.closed).collect();
-        turn.sort_by(|a, b| self.weight(op, b.1).total_cmp(&self.weight(op, a.1)).then(a.0.cmp(&b.0)));
-        for (place, p) in turn {
+        for (place, p) in mg.step().filter(|(_, p)| !p.returned && !p.closed) {
             let extra = self.extra(op, p);
             let late = Span::from_secs(patience + extra).max(self.tick);
             let out: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
@@ -704,19 +702,14 @@
             }
             let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
             let further = !tried.is_empty();
-            let mut pick = self.sender.pick(now, p.shard, &tried, peers, &mut self.rng);
-            if further && !self.further.allowed(now) {
-                pick = Err(None);
-            }
-            let to = match pick {
-                Ok((to, _)) => to,
-                Err(soonest) => {
-                    let again = soonest.unwrap_or(Span::from_secs(peers * 0.5));
-                    wake = wake.min(now + again.max(self.tick));
-                    continue;
-                }
+            let held_back = further && !self.further.allowed(now);
+            let pick = self.sender.pick(now, p.shard, &tried, peers, &mut self.rng);
+            let Some((to, _)) = pick.as_ref().ok().filter(|_| !held_back) else {
+                let again = pick.err().flatten().unwrap_or(Span::from_secs(peers * 0.5));
+                wake = wake.min(now + again.max(self.tick));
+                continue;
             };
-            let before = p.sends.iter().rev().find(|s| s.to == to);
+            let before = p.sends.iter().rev().find(|s| s.to == *to);
             if !out.is_empty() {
                 let given_up = out.iter().filter(|_| may_withdraw && !second_copies && before.is_none());
                 advice.withdraw.extend(given_up.map(|&nth| (place, nth)));
@@ -734,13 +727,13 @@
             if further {
                 self.further.made(now);
             }
-            if let Some(searcher) = self.sender.searchers.get_mut(&to) {
+            if let Some(searcher) = self.sender.searchers.get_mut(to) {
                 searcher.sent(now, extra);
             }
             let left = end.since(now);
             let timeout = if second_copies || may_withdraw { left } else { late.min(left) };
             wake = wake.min(now + late);
-            advice.orders.push(Order { part: place, to, timeout });
+            advice.orders.push(Order { part: place, to: to.clone(), timeout });
         }
         advice.again = Some(wake.since(now).max(self.tick));
         advice
