--- /dev/null
+++ b/crates/lockusher/tests/stories.rs
@@ -0,0 +1,325 @@
+//! Short stories of failures met, told against one tiny fake host.
+
+mod host;
+
+use host::{Host, Site, ms, part};
+use lockusher::interface::*;
+use rstest::rstest;
+
+#[test]
+fn a_part_goes_to_the_replica_with_fewest_of_our_parts_out() {
+    let mut host = Host::new(Site::default());
+    let first = host.ask("m1", &[0]);
+    let second = host.ask("m2", &[0]);
+    let third = host.ask("m3", &[0]);
+    let mut used = [host.sent_to(first, 0), host.sent_to(second, 0), host.sent_to(third, 0)];
+    used.sort();
+    assert_eq!(used, ["a", "b", "c"]);
+}
+
+#[test]
+fn a_slow_replica_loses_its_parts_to_quick_ones() {
+    let mut host = Host::new(Site::default());
+    host.speed("a", ms(900));
+    host.serve(60, &[0]);
+    host.forget_counts();
+    host.serve(30, &[0]);
+    assert!(host.count("a") <= 3, "slow replica got {} of 30", host.count("a"));
+}
+
+#[test]
+fn a_replica_that_fails_fast_does_not_look_quick() {
+    let mut host = Host::new(Site::default());
+    host.speed("a", ms(2));
+    host.fails("a", Outcome::Error);
+    host.serve(60, &[0]);
+    host.forget_counts();
+    host.serve(30, &[0]);
+    assert!(host.count("a") <= 3, "failing replica got {} of 30", host.count("a"));
+    assert_eq!(host.unanswered(), 0);
+}
+
+#[test]
+fn a_replica_that_swallows_parts_is_left_alone_while_they_age() {
+    let mut host = Host::new(Site::default());
+    host.serve(20, &[0]);
+    host.swallows("a");
+    host.forget_counts();
+    host.serve(40, &[0]);
+    assert!(host.count("a") <= 4, "swallowing replica got {} of 40", host.count("a"));
+}
+
+#[test]
+fn a_replica_slow_once_is_tried_again_after_a_while() {
+    let mut host = Host::new(Site::default());
+    host.speed("a", ms(900));
+    host.serve(60, &[0]);
+    host.speed("a", ms(100));
+    host.pass(ms(60_000));
+    host.forget_counts();
+    host.serve(60, &[0]);
+    assert!(host.count("a") >= 10, "recovered replica got {} of 60", host.count("a"));
+}
+
+#[test]
+fn one_dead_searcher_does_not_make_a_good_day_look_overloaded() {
+    let mut host = Host::new(Site::default());
+    host.serve(20, &[0, 1, 2]);
+    host.swallows("a");
+    host.serve(60, &[0, 1, 2]);
+    assert!(host.pushed_back() <= 1, "{} pushed back", host.pushed_back());
+}
+
+#[test]
+fn a_heavy_hint_is_not_taken_for_overload() {
+    let mut host = Host::new(Site { by_work: true, ..Site::default() });
+    host.serve_hinted(40, &[0, 1], ms(100));
+    let heavy = host.ask_hinted("heavy", &[0, 1], ms(600));
+    assert_eq!(host.reply(heavy), None);
+    assert!(host.sends(heavy).iter().all(|n| *n == 1));
+}
+
+#[test]
+fn what_cannot_be_in_time_is_pushed_back_at_once_with_a_time_to_come_back() {
+    let mut host = Host::new(Site::default());
+    host.speed_of_all(ms(1_400));
+    let taken: Vec<_> = (0..60).map(|i| host.ask(&format!("m{i}"), &[0, 1, 2])).collect();
+    host.pass(ms(1_450));
+    let late = host.ask("late", &[0, 1, 2]);
+    let later = host.ask("later", &[0, 1, 2]);
+    assert!(taken.iter().any(|&mg| host.reply(mg).is_some()));
+    let pushed = [late, later].iter().any(|&mg| {
+        matches!(host.reply(mg), Some(Reply::PushedBack { come_back_in: Some(span) }) if span > Span::ZERO)
+    });
+    assert!(pushed);
+}
+
+#[test]
+fn a_multiget_with_no_holder_left_is_given_up_at_once() {
+    let mut host = Host::new(Site::default());
+    for id in ["a", "b", "c"] {
+        host.listed(id, SearcherState::Gone);
+    }
+    let mg = host.ask("m", &[0]);
+    assert!(matches!(host.reply(mg), Some(Reply::PushedBack { .. })));
+}
+
+#[rstest]
+#[case::draining(SearcherState::Draining)]
+#[case::gone(SearcherState::Gone)]
+fn nothing_new_goes_to_a_searcher_that_leaves(#[case] state: SearcherState) {
+    let mut host = Host::new(Site::default());
+    host.serve(12, &[0]);
+    host.listed("a", state);
+    host.forget_counts();
+    host.serve(20, &[0]);
+    assert_eq!(host.count("a"), 0);
+}
+
+#[test]
+fn a_searcher_missing_from_a_complete_list_is_gone() {
+    let mut host = Host::new(Site::default());
+    host.only(&["b", "c"]);
+    host.serve(20, &[0]);
+    assert_eq!(host.count("a"), 0);
+}
+
+#[test]
+fn a_searcher_told_to_have_restarted_gets_its_parts_spread_out() {
+    let mut host = Host::new(Site::default());
+    host.serve(40, &[0]);
+    host.restarted("a");
+    host.listed("b", SearcherState::Draining);
+    host.listed("c", SearcherState::Draining);
+    host.forget_counts();
+    let waiting: Vec<_> = (0..8).map(|i| host.ask(&format!("m{i}"), &[0])).collect();
+    host.pass(ms(1_400));
+    assert!((2..=4).contains(&host.count("a")), "{} parts in 1.4 s", host.count("a"));
+    assert!(host.gaps_to("a").iter().all(|gap| *gap > ms(400)), "{:?}", host.gaps_to("a"));
+    assert!(waiting.iter().any(|&mg| host.sends(mg) == [0]));
+}
+
+#[test]
+fn a_searcher_back_from_silence_counts_as_cold_before_any_list_says_so() {
+    let mut host = Host::new(Site::default());
+    host.serve(20, &[0]);
+    host.fails("a", Outcome::NoConnection);
+    host.serve(120, &[0]);
+    host.works("a");
+    host.pass(ms(30_000));
+    host.serve(30, &[0]);
+    host.forget_counts();
+    host.serve(30, &[0]);
+    assert!(host.count("a") < 10, "{} of 30 soon after its return", host.count("a"));
+}
+
+#[rstest]
+#[case::deduped(Repeat::Deduped(ms(400)), Outcome::Error, 2)]
+#[case::non_retriable(Repeat::NonRetriable, Outcome::Error, 1)]
+#[case::non_retriable_never_ran(Repeat::NonRetriable, Outcome::Full, 2)]
+fn a_part_is_sent_again_only_where_that_is_harmless(
+    #[case] repeat: Repeat,
+    #[case] outcome: Outcome,
+    #[case] sends: usize,
+) {
+    let mut host = Host::new(Site { repeat, ..Site::default() });
+    let mg = host.ask("m", &[0]);
+    host.pass(ms(5));
+    host.end_last_send(mg, 0, outcome);
+    assert_eq!(host.sends(mg), [sends]);
+}
+
+#[rstest]
+#[case::may_have_run(Outcome::Error, Reply::Failed)]
+#[case::never_ran(Outcome::NoConnection, Reply::PushedBack { come_back_in: None })]
+fn a_non_retriable_multiget_is_pushed_back_only_if_nothing_ran(
+    #[case] outcome: Outcome,
+    #[case] reply: Reply,
+) {
+    let site = Site { repeat: Repeat::NonRetriable, most_sends: 1, come_back: None, ..Site::default() };
+    let mut host = Host::new(site);
+    let mg = host.ask("m", &[0]);
+    host.pass(ms(5));
+    host.end_last_send(mg, 0, outcome);
+    assert_eq!(host.reply(mg), Some(reply));
+}
+
+#[test]
+fn a_deduped_part_that_may_have_run_is_not_sent_again_past_its_window() {
+    let site = Site { repeat: Repeat::Deduped(ms(400)), second_copies: false, ..Site::default() };
+    let mut host = Host::new(site);
+    host.swallows_all();
+    let mg = host.ask("m", &[0]);
+    host.pass(ms(500));
+    host.end_last_send(mg, 0, Outcome::Broken);
+    assert_eq!(host.sends(mg), [1]);
+    assert_eq!(host.reply(mg), Some(Reply::Failed));
+}
+
+#[test]
+fn further_sends_stay_within_the_stated_budget() {
+    let budget = SendBudget { free: 2.0, share: 0.1, window: ms(10_000) };
+    let mut host = Host::new(Site { budget: Some(budget), ..Site::default() });
+    for id in ["a", "b", "c"] {
+        host.fails(id, Outcome::Error);
+        host.speed(id, ms(10));
+    }
+    host.serve(30, &[0]);
+    // Thirty multigets of one part each: sixty taken.
+    assert!(host.further() as f64 <= 2.0 + 0.1 * 60.0, "{} further sends", host.further());
+    assert!(host.further() > 0);
+}
+
+#[test]
+fn further_sends_fade_when_none_of_them_helps() {
+    let mut host = Host::new(Site::default());
+    for id in ["a", "b", "c"] {
+        host.fails(id, Outcome::Error);
+    }
+    host.serve(100, &[0]);
+    let before = host.further();
+    host.serve(100, &[0]);
+    assert!(host.further() - before <= 10, "{} further sends in 100", host.further() - before);
+}
+
+#[test]
+fn where_no_second_copy_may_run_the_stuck_send_is_withdrawn_first() {
+    let mut host = Host::new(Site { second_copies: false, ..Site::default() });
+    host.serve(30, &[0]);
+    host.swallows_all();
+    let mg = host.ask("m", &[0]);
+    host.pass(ms(1_400));
+    assert!(host.withdrawn(mg) >= 1);
+    assert_eq!(host.most_out_at_once(mg), 1);
+}
+
+#[test]
+fn a_second_copy_goes_to_another_replica_and_the_part_counts_once() {
+    let mut host = Host::new(Site { most_sends: 2, ..Site::default() });
+    host.serve(30, &[0]);
+    host.swallows_all();
+    let mg = host.ask("m", &[0]);
+    host.pass(ms(1_300));
+    assert_eq!(host.sends(mg), [2]);
+    host.end_last_send(mg, 0, Outcome::Returned);
+    assert_eq!(host.reply(mg), Some(Reply::Answered { whole: true }));
+}
+
+#[rstest]
+#[case::enough(0.7, Some(Reply::Answered { whole: false }))]
+#[case::too_little(0.8, Some(Reply::PushedBack { come_back_in: None }))]
+fn at_the_end_of_the_latency_budget_a_partial_answer_keeps_to_its_least_share(
+    #[case] least_share: f64,
+    #[case] reply: Option<Reply>,
+) {
+    let mut host = Host::new(Site { least_share, come_back: None, ..Site::default() });
+    host.swallows_shard(3);
+    let mg = host.ask("m", &[0, 1, 2, 3]);
+    host.pass(ms(700));
+    assert_eq!(host.reply(mg), None);
+    host.pass(ms(900));
+    assert_eq!(host.reply(mg), reply);
+}
+
+#[test]
+fn the_second_step_is_whole_only_if_the_first_was_and_all_its_parts_are_in() {
+    let mut host = Host::new(Site { second_step: 2, ..Site::default() });
+    let mg = host.ask("m", &[0, 1]);
+    host.pass(ms(150));
+    assert_eq!(host.reply(mg), Some(Reply::Answered { whole: true }));
+    host.second_step(mg, &[part(0, 0.5), part(1, 0.5)]);
+    assert!(host.open(mg));
+    host.pass(ms(250));
+    assert!(!host.open(mg));
+    assert_eq!(host.reply(mg), Some(Reply::Answered { whole: true }));
+}
+
+#[test]
+fn a_later_try_is_known_by_the_time_it_was_given() {
+    let mut host = Host::new(Site::default());
+    host.serve(10, &[0]);
+    // The route timeout is 3 s: a client with 0.9 s left has waited 2.1 s, past the latency budget.
+    let mg = host.ask_for("m", &[0], ms(900));
+    assert!(matches!(host.reply(mg), Some(Reply::PushedBack { .. })));
+    assert_eq!(host.sends(mg), [0]);
+}
+
+#[test]
+fn every_multiget_gets_one_final_answer_in_time_when_nothing_answers() {
+    let mut host = Host::new(Site { late_share: 0.3, ..Site::default() });
+    host.swallows_all();
+    let taken: Vec<_> = (0..10).map(|i| host.ask(&format!("m{i}"), &[0, 1, 2])).collect();
+    host.pass(ms(3_000));
+    assert!(taken.iter().all(|&mg| host.replies(mg) == 1));
+}
+
+#[test]
+fn discovery_is_asked_at_the_start_and_again_after_refusals_with_back_off() {
+    let mut host = Host::new(Site { ask_every: Some(ms(10_000)), ..Site::default() });
+    assert_eq!(host.asks(), 1);
+    for _ in 0..6 {
+        host.refuse_discovery();
+        host.pass(ms(3_800));
+    }
+    assert_eq!(host.asks(), 7);
+    host.only(&["a", "b", "c"]);
+    host.pass(ms(60_000));
+    assert_eq!(host.asks(), 7);
+}
+
+#[test]
+fn what_is_worth_most_for_its_work_has_its_turn_first() {
+    let mut host = Host::new(Site::default());
+    assert_eq!(host.turns(&[("wide", &[0, 1, 2, 3, 4]), ("narrow", &[0])]), ["narrow", "wide"]);
+}
+
+#[test]
+fn same_events_same_actions() {
+    let play = || {
+        let mut host = Host::new(Site::default());
+        host.fails("b", Outcome::Full);
+        host.serve(50, &[0, 1, 2]);
+        host.trace().to_vec()
+    };
+    assert_eq!(play(), play());
+}
