--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -185,13 +185,13 @@
         self.searchers.retain(|_, s| s.listed.state != SearcherState::Gone || !s.out.is_empty());
     }
 
-    /// The middle latency average of those heard from; with none, `start`. The design says the mean: one
+    /// The middle latency average of those heard from; with none, half the latency budget. The design says the mean: one
     /// dead searcher's time-outs would then make all others look slow and shut the gate.
-    fn peers(&self, start: f64) -> f64 {
+    fn peers(&self, budget: Span) -> f64 {
         let heard = self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
         let mut heard: Vec<f64> = heard.filter_map(|s| s.latency).collect();
         heard.sort_by(f64::total_cmp);
-        heard.get(heard.len() / 2).copied().unwrap_or(start)
+        heard.get(heard.len() / 2).copied().unwrap_or(budget.as_secs() / 2.0)
     }
 
     /// Parts of usual weight returned of late, of which `more` just now.
@@ -227,11 +227,13 @@
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
     /// in `not`, unless there is no other.
-    fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], peers: f64, rng: &mut ChaCha8Rng) -> Pick {
+    fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], budget: Span, rng: &mut ChaCha8Rng) -> Pick {
+        let peers = self.peers(budget);
         /// The design's first setting.
         const N: i32 = 3;
-        /// How many times its price a crossing weighs on the latency: enough to break ties at equal queues.
-        const CROSSING: f64 = 200.0;
+        /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
+        /// yet a sound one elsewhere beats a cold or slow one here.
+        const CROSSING: f64 = 20.0;
         type Entry<'a> = (bool, f64, u32, &'a SearcherId, f64);
         let mut best: Option<Entry> = None;
         let mut soonest: Option<Span> = None;
@@ -245,11 +247,11 @@
             let expected = s.expected(now, peers, &self.cold);
             let queue = s.out.len() as f64 + s.learned(now, peers).2 + 1.0;
             let far = s.listed.zone.is_some() && s.listed.zone != self.home;
-            let crossing = if far { 1.0 + CROSSING * self.cross_zone_price } else { 1.0 };
+            let crossing = if far { CROSSING * self.cross_zone_price * budget.as_secs() } else { 0.0 };
             // One that fails fast looks quick and empty: what counts is the time to an answer, and a part
             // has few sends, so failures weigh twice.
             let failing = s.learned(now, peers).1.max(0.05).powi(2);
-            let score = queue.powi(N) * expected * crossing / failing;
+            let score = queue.powi(N) * (expected + crossing) / failing;
             let entry = (not.contains(&id), score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
@@ -489,9 +491,8 @@
         &self.op_types[mg.op_type.0]
     }
 
-    /// The middle latency average of all searchers heard from, or half the latency budget.
     fn peers(&self, op: OpTypeId) -> f64 {
-        self.sender.peers(self.op_types[op.0].latency_budget.as_secs() / 2.0)
+        self.sender.peers(self.op_types[op.0].latency_budget)
     }
 
     /// A part's expected work against that of a usual part.
@@ -655,10 +656,10 @@
         /// The slowest of a few parts takes half as much again as one is expected to.
         const SLOWEST: f64 = 1.5;
         let left = self.budget_end(mg).since(now).as_secs();
-        let peers = self.peers(mg.op_type);
+        let budget = self.op(mg).latency_budget;
         let mut parts = Vec::new();
         for (_, p) in mg.step() {
-            if let Ok((id, expected)) = self.sender.pick(now, p.shard, &[], peers, &mut self.rng) {
+            if let Ok((id, expected)) = self.sender.pick(now, p.shard, &[], budget, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
                 let takes = if idle { 0.0 } else { expected + self.extra(mg.op_type, p) };
                 parts.push((takes, p.weight));
@@ -683,7 +684,7 @@
 
     fn send_parts(&mut self, now: Time, mg: &Multiget) -> Advice {
         let mut advice = Advice::default();
-        let (op, peers) = (mg.op_type, self.peers(mg.op_type));
+        let (op, peers, budget) = (mg.op_type, self.peers(mg.op_type), self.op(mg).latency_budget);
         let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
         let mut wake = if now < cut { cut } else { end };
@@ -702,7 +703,7 @@
             let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
             let further = !tried.is_empty();
             let held_back = further && !self.further.allowed(now);
-            let pick = self.sender.pick(now, p.shard, &tried, peers, &mut self.rng);
+            let pick = self.sender.pick(now, p.shard, &tried, budget, &mut self.rng);
             let Some((to, _)) = pick.as_ref().ok().filter(|_| !held_back) else {
                 let again = pick.err().flatten().unwrap_or(Span::from_secs(peers * 0.5));
                 wake = wake.min(now + again.max(self.tick));
