--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -651,7 +651,7 @@
 
     /// Under overload, what cannot be answered in time is pushed back before work is wasted on it, the
     /// least worth for its work first. A multiget takes as long as the slowest part that it needs; a
-    /// warm replica with nothing of ours out is always worth a try, so that stale averages are found out.
+    /// replica with nothing of ours out is always worth a try, so that stale averages are found out.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
         /// The slowest of a few parts takes half as much again as one is expected to.
         const SLOWEST: f64 = 1.5;
@@ -660,8 +660,7 @@
         let mut parts = Vec::new();
         for (_, p) in mg.step() {
             if let Ok((id, expected)) = self.sender.pick(now, p.shard, &[], budget, &mut self.rng) {
-                let warm = |s: &Searcher| s.capacity(now, &self.sender.cold) >= 1.0;
-                let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty() && warm(s));
+                let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
                 let takes = if idle { 0.0 } else { expected + self.extra(mg.op_type, p) };
                 parts.push((takes, p.weight));
             }
