--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -341,6 +341,8 @@
     longest_come_back: Option<Span>,
     /// Importance asked for by unit of work, on average.
     density: f64,
+    /// EWMA of the share of multigets let in that missed their latency budget, and as of when.
+    missed: (f64, Time),
 }
 
 impl Gate {
@@ -354,7 +356,7 @@
     ) -> Self {
         let shares = tenants.iter().map(|t| t.quota_per_s / mixers.max(1) as f64);
         let quotas = shares.map(|share| (share, share, now)).collect();
-        Gate { quotas, over_share, by_work, longest_come_back, density: 0.0 }
+        Gate { quotas, over_share, by_work, longest_come_back, density: 0.0, missed: (0.0, now) }
     }
 
     fn took(&mut self, now: Time, mg: &Multiget, worth: f64) {
@@ -367,6 +369,20 @@
         }
     }
 
+    /// How strict to be, from 0 to 1: as far as those let in of late have missed their latency budget.
+    fn strictness(&self, now: Time) -> f64 {
+        // Forgets in a second or so, so that a gate that lets nobody in opens again.
+        self.missed.0 * 0.5f64.powf(now.since(self.missed.1).as_secs() / HL)
+    }
+
+    /// One that was let in has ended.
+    fn ended(&mut self, now: Time, missed: bool) {
+        let mut share = self.strictness(now);
+        // About the last twenty.
+        blend(&mut share, f64::from(missed), MW);
+        self.missed = (share, now);
+    }
+
     /// Importance by unit of work; what exceeds its tenant's share is worth little.
     fn worth(&self, mg: &Multiget, importance: f64, work: f64) -> f64 {
         let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
@@ -401,6 +417,12 @@
     asking: Asking,
 }
 
+const HL: f64 = 1.0;
+const MW: f64 = 0.05;
+const S0: f64 = 1.0;
+const S1: f64 = 2.0;
+const I1: f64 = 3.0;
+
 impl Policy {
     pub fn new(
         seed: u64,
@@ -463,7 +485,12 @@
         if reply.is_none() && fresh && self.hopeless(now, mg) {
             reply = Some(self.give_up(mg));
         }
-        if reply.is_some() { Advice { reply, ..Advice::default() } } else { self.send_parts(now, mg) }
+        let Some(answer) = reply else { return self.send_parts(now, mg) };
+        if !fresh {
+            let in_time = matches!(answer, Reply::Answered { .. }) && now <= self.budget_end(mg);
+            self.gate.ended(now, !in_time);
+        }
+        Advice { reply, ..Advice::default() }
     }
 
     /// What to do after this outcome of a send; the host has noted it in the multiget.
@@ -653,15 +680,14 @@
     /// least worth for its work first. A multiget takes as long as the slowest part that it needs; a
     /// replica with nothing of ours out is always worth a try, so that stale averages are found out.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
-        /// The slowest of a few parts takes half as much again as one is expected to.
-        const SLOWEST: f64 = 1.5;
+        let strict = self.gate.strictness(now);
         let left = self.budget_end(mg).since(now).as_secs();
         let budget = self.op(mg).latency_budget;
         let mut parts = Vec::new();
         for (_, p) in mg.step() {
             if let Ok((id, expected)) = self.sender.pick(now, p.shard, &[], budget, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
-                let takes = if idle { 0.0 } else { expected + self.extra(mg.op_type, p) };
+                let takes = expected * if idle { (I1 * strict).min(1.0) } else { 1.0 } + self.extra(mg.op_type, p);
                 parts.push((takes, p.weight));
             }
         }
@@ -671,7 +697,7 @@
             needed -= weight;
             needed <= 0.0
         });
-        last_needed.is_some_and(|(takes, _)| takes * SLOWEST > left * self.gate.room(self.worth(mg)))
+        last_needed.is_some_and(|(takes, _)| takes * (S0 + S1 * strict) > left * self.gate.room(self.worth(mg)))
     }
 
     /// How late a part of usual weight is when it is worth another send.
