Idle replicas pass the gate the less, the more of those let in have missed

Cause: under a lasting overload the replica with the lowest score is often one with nothing of ours out, so the free pass for idle replicas held the gate open while searchers queued for seconds.

--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -369,18 +369,16 @@
         }
     }
 
-    /// How strict to be, from 0 to 1: as far as those let in of late have missed their latency budget.
-    fn strictness(&self, now: Time) -> f64 {
-        // Forgets in a second or so, so that a gate that lets nobody in opens again.
-        self.missed.0 * 0.5f64.powf(now.since(self.missed.1).as_secs() / HL)
+    /// The share of multigets let in of late that missed their latency budget. It is forgotten in some
+    /// seconds, so that a gate that lets nobody in opens again.
+    fn missed(&self, now: Time) -> f64 {
+        const HALF_LIFE_S: f64 = 2.0;
+        self.missed.0 * 0.5f64.powf(now.since(self.missed.1).as_secs() / HALF_LIFE_S)
     }
 
-    /// One that was let in has ended.
+    /// One that was let in has ended; the last forty or so count.
     fn ended(&mut self, now: Time, missed: bool) {
-        let mut share = self.strictness(now);
-        // About the last twenty.
-        blend(&mut share, f64::from(missed), MW);
-        self.missed = (share, now);
+        self.missed = (self.missed(now) * 0.975 + f64::from(missed) * 0.025, now);
     }
 
     /// Importance by unit of work; what exceeds its tenant's share is worth little.
@@ -417,12 +415,6 @@
     asking: Asking,
 }
 
-const HL: f64 = 1.0;
-const MW: f64 = 0.05;
-const S0: f64 = 1.0;
-const S1: f64 = 2.0;
-const I1: f64 = 3.0;
-
 impl Policy {
     pub fn new(
         seed: u64,
@@ -678,16 +670,21 @@
 
     /// Under overload, what cannot be answered in time is pushed back before work is wasted on it, the
     /// least worth for its work first. A multiget takes as long as the slowest part that it needs; a
-    /// replica with nothing of ours out is always worth a try, so that stale averages are found out.
+    /// replica with nothing of ours out is worth a try, so that a stale average is found out, unless many
+    /// that were let in missed their latency budget: then averages are right, and tries only add to the load.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
-        let strict = self.gate.strictness(now);
+        /// The slowest of a few parts takes half as much again as one is expected to.
+        const SLOWEST: f64 = 1.5;
+        // With a third of those let in missing their budget, an idle replica counts like any other.
+        let pass = (self.gate.missed(now) * 3.0).min(1.0);
         let left = self.budget_end(mg).since(now).as_secs();
         let budget = self.op(mg).latency_budget;
         let mut parts = Vec::new();
         for (_, p) in mg.step() {
             if let Ok((id, expected)) = self.sender.pick(now, p.shard, &[], budget, &mut self.rng) {
                 let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
-                let takes = expected * if idle { (I1 * strict).min(1.0) } else { 1.0 } + self.extra(mg.op_type, p);
+                let counts = if idle { pass } else { 1.0 };
+                let takes = (expected + self.extra(mg.op_type, p)) * counts;
                 parts.push((takes, p.weight));
             }
         }
@@ -697,7 +694,7 @@
             needed -= weight;
             needed <= 0.0
         });
-        last_needed.is_some_and(|(takes, _)| takes * (S0 + S1 * strict) > left * self.gate.room(self.worth(mg)))
+        last_needed.is_some_and(|(takes, _)| takes * SLOWEST > left * self.gate.room(self.worth(mg)))
     }
 
     /// How late a part of usual weight is when it is worth another send.
