--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -1,13 +1,11 @@
 //! Every decision of a mixer: which replica serves each part, how long to wait, when to send again, when
 //! to reply, what to push back, and when to ask discovery.
 //!
-//! How to call it: build a [`Policy`], tell it [`Policy::news`] of the searchers, then ask three things.
-//! [`Policy::place`]: where to send this multiget (or not yet, or never). [`Policy::outcome`]: what to do
-//! after this outcome. [`Policy::wait`]: how long to wait and whose turn it is. The host keeps the timers
-//! and the multigets in hand and carries out the [`Advice`]; the values are in `interface.rs`.
-//!
-//! The ordinary path is the hybrid server selector of the Pinot resiliency talk; `docs/design.md` says what
-//! was kept, what was changed and when each exception acts.
+//! How to call it: build a [`Policy`], tell it [`Policy::news`] of the searchers, then ask three things:
+//! [`Policy::place`], where to send this multiget (or not yet, or never); [`Policy::outcome`], what to do
+//! after this outcome; [`Policy::wait`], how long to wait and whose turn it is. The host keeps the timers
+//! and the multigets in hand and carries out the [`Advice`]; the values are in `interface.rs`. What was
+//! kept of the Pinot talk's selector, what changed and when each exception acts: `docs/design.md`.
 
 use std::collections::BTreeMap;
 
@@ -105,17 +103,13 @@
         // connection, then an answer. After a long hang that was no restart, it costs the searcher some
         // traffic for one ramp; mere pauses and queues are shorter than `DEAD_FOR`.
         const DEAD_FOR: Span = Span::from_millis(2_000);
-        match (outcome, self.down_since) {
-            (Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut, None) => {
-                self.down_since = Some(now)
-            }
-            (Outcome::Returned | Outcome::Error, Some(since)) => {
-                self.down_since = None;
-                if now.since(since) > DEAD_FOR && self.cold_since.is_none_or(|start| start < since) {
-                    self.cold_since = Some(now);
-                }
-            }
-            _ => {}
+        if matches!(outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut) {
+            self.down_since.get_or_insert(now);
+        } else if let Some(since) = self.down_since.take_if(|_| returned)
+            && now.since(since) > DEAD_FOR
+            && self.cold_since.is_none_or(|start| start < since)
+        {
+            self.cold_since = Some(now);
         }
         returned.then_some(sample)
     }
@@ -123,10 +117,9 @@
     /// Its latency average, share of good sends and queue EWMA, as far as they still count. A replica slowed
     /// once gets few parts to correct them, so with nothing out or heard they drift to those of its peers.
     fn learned(&self, now: Time, peers: f64) -> (f64, f64, f64) {
-        /// A trial part now and then while a trouble of usual length lasts; a few seconds were too eager.
-        const HALF_LIFE_S: f64 = 20.0;
         let idle = if self.out.is_empty() { now.since(self.heard).as_secs() } else { 0.0 };
-        let memory = 0.5f64.powf(idle / HALF_LIFE_S);
+        // Half in 20 s: a trial now and then while a usual trouble lasts; a few seconds were too eager.
+        let memory = 0.5f64.powf(idle / 20.0);
         let latency = self.latency.unwrap_or(peers);
         (peers + (latency - peers) * memory, 1.0 + (self.good - 1.0) * memory, self.queue * memory)
     }
@@ -210,8 +203,7 @@
             return Span::ZERO;
         }
         let warm = |s: &&Searcher| s.listed.state == SearcherState::Up && s.capacity(now, &self.cold) >= 1.0;
-        let warm = self.searchers.values().filter(warm).count().max(1);
-        let rate = self.flow(now, 0.0) / FLOW_S / warm as f64;
+        let rate = self.flow(now, 0.0) / FLOW_S / self.searchers.values().filter(warm).count().max(1) as f64;
         let allowed = self.cold.fall_multiple * capacity * rate;
         // A mixer that has just started knows no rate: one part a window.
         let window = self.cold.tip_after.as_secs();
@@ -273,8 +265,8 @@
 }
 
 impl Further {
-    /// Starts with a few in hand, so that a mixer that has just started can meet a failure.
     pub fn new(limits: PartLimits, budget: Option<SendBudget>) -> Self {
+        // A few in hand, so that a mixer that has just started can meet a failure.
         let (taken, made) = (Vec::new(), Vec::new());
         Further { limits, budget, tokens: 5.0, helped: 0.5, taken, made }
     }
@@ -307,7 +299,7 @@
     }
 }
 
-/// When to ask discovery, on sites where it must be asked.
+/// When to ask discovery, where it must be asked.
 pub struct Asking {
     every: Option<Span>,
     next: Option<Time>,
@@ -369,16 +361,10 @@
         }
     }
 
-    /// The share of multigets let in of late that missed their latency budget. It is forgotten in some
-    /// seconds, so that a gate that lets nobody in opens again.
+    /// The share of multigets let in of late that missed their latency budget. Its half-life of
+    /// 2 s sees to it that a gate that lets nobody in opens again.
     fn missed(&self, now: Time) -> f64 {
-        const HALF_LIFE_S: f64 = 2.0;
-        self.missed.0 * 0.5f64.powf(now.since(self.missed.1).as_secs() / HALF_LIFE_S)
-    }
-
-    /// One that was let in has ended; the last forty or so count.
-    fn ended(&mut self, now: Time, missed: bool) {
-        self.missed = (self.missed(now) * 0.975 + f64::from(missed) * 0.025, now);
+        self.missed.0 * 0.5f64.powf(now.since(self.missed.1).as_secs() / 2.0)
     }
 
     /// Importance by unit of work; what exceeds its tenant's share is worth little.
@@ -478,9 +464,10 @@
             reply = Some(self.give_up(mg));
         }
         let Some(answer) = reply else { return self.send_parts(now, mg) };
+        let in_time = matches!(answer, Reply::Answered { .. }) && now <= self.budget_end(mg);
         if !fresh {
-            let in_time = matches!(answer, Reply::Answered { .. }) && now <= self.budget_end(mg);
-            self.gate.ended(now, !in_time);
+            // The last forty or so that were let in count.
+            self.gate.missed = (self.gate.missed(now) * 0.975 + f64::from(!in_time) * 0.025, now);
         }
         Advice { reply, ..Advice::default() }
     }
@@ -606,8 +593,7 @@
 
     /// The final answer, if it is time for one.
     fn reply(&self, now: Time, mg: &Multiget) -> Option<Reply> {
-        /// Sums of weights may come up a little short.
-        const SHORT: f64 = 1e-6;
+        const SHORT: f64 = 1e-6; // Sums of weights may come up a little short.
         let (op, first) = (self.op(mg), mg.first_answer);
         let over = now >= self.useful_end(mg);
         if mg.step().next().is_none() {
@@ -677,24 +663,17 @@
         const SLOWEST: f64 = 1.5;
         // With a third of those let in missing their budget, an idle replica counts like any other.
         let pass = (self.gate.missed(now) * 3.0).min(1.0);
-        let left = self.budget_end(mg).since(now).as_secs();
-        let budget = self.op(mg).latency_budget;
-        let mut parts = Vec::new();
+        let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
+        let (budget, mut in_time) = (self.op(mg).latency_budget, 1e-6);
         for (_, p) in mg.step() {
-            if let Ok((id, expected)) = self.sender.pick(now, p.shard, &[], budget, &mut self.rng) {
-                let idle = self.sender.searchers.get(&id).is_some_and(|s| s.out.is_empty());
-                let counts = if idle { pass } else { 1.0 };
-                let takes = (expected + self.extra(mg.op_type, p)) * counts;
-                parts.push((takes, p.weight));
-            }
+            let picked = self.sender.pick(now, p.shard, &[], budget, &mut self.rng);
+            let takes = picked.map_or(0.0, |(id, expected)| {
+                let counts = if self.sender.searchers[&id].out.is_empty() { pass } else { 1.0 };
+                (expected + self.extra(mg.op_type, p)) * counts
+            });
+            in_time += if takes * SLOWEST > left { 0.0 } else { p.weight };
         }
-        parts.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut needed = self.op(mg).least_share.min(self.op(mg).need) - 1e-6;
-        let last_needed = parts.iter().find(|(_, weight)| {
-            needed -= weight;
-            needed <= 0.0
-        });
-        last_needed.is_some_and(|(takes, _)| takes * SLOWEST > left * self.gate.room(self.worth(mg)))
+        in_time < self.op(mg).least_share.min(self.op(mg).need)
     }
 
     /// How late a part of usual weight is when it is worth another send.
--- a/crates/lockusher/tests/stories.rs
+++ b/crates/lockusher/tests/stories.rs
@@ -94,6 +94,20 @@
     assert!(pushed);
 }
 
+#[test]
+fn an_idle_replica_does_not_hold_the_gate_open_while_most_that_are_let_in_miss() {
+    let mut host = Host::new(Site::default());
+    host.serve(5, &[0, 1, 2]);
+    host.speed_of_all(ms(1_600));
+    let taken = (0..60).map(|i| host.ask(&format!("m{i}"), &[0, 1, 2])).count();
+    host.pass(ms(1_700));
+    let idle_again = host.ask("next", &[0]);
+    assert!(matches!(host.reply(idle_again), Some(Reply::PushedBack { .. })));
+    host.pass(ms(20_000));
+    let much_later = host.ask("much later", &[0]);
+    assert_eq!((host.sends(much_later), taken), (vec![1], 60));
+}
+
 #[test]
 fn a_multiget_with_no_holder_left_is_given_up_at_once() {
     let mut host = Host::new(Site::default());
