--- a/crates/lockusher/tests/stories.rs
+++ b/crates/lockusher/tests/stories.rs
@@ -82,7 +82,7 @@
 #[test]
 fn what_cannot_be_in_time_is_pushed_back_at_once_with_a_time_to_come_back() {
     let mut host = Host::new(Site::default());
-    ["a", "b", "c"].map(|id| host.speed(id, ms(1_400)));
+    ["a", "b", "c"].iter().for_each(|id| host.speed(id, ms(1_400)));
     let taken: Vec<_> = (0..60).map(|i| host.ask(&format!("m{i}"), &[0, 1, 2])).collect();
     host.pass(ms(1_450));
     let late = host.ask("late", &[0, 1, 2]);
@@ -98,7 +98,7 @@
 fn an_idle_replica_does_not_hold_the_gate_open_while_most_that_are_let_in_miss() {
     let mut host = Host::new(Site::default());
     host.serve(5, &[0, 1, 2]);
-    ["a", "b", "c"].map(|id| host.speed(id, ms(1_600)));
+    ["a", "b", "c"].iter().for_each(|id| host.speed(id, ms(1_600)));
     let taken = (0..60).map(|i| host.ask(&format!("m{i}"), &[0, 1, 2])).count();
     host.pass(ms(1_700));
     let idle_again = host.ask("next", &[0]);
