--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -172,12 +172,6 @@
     pub in_a_row: usize,
 }
 
-impl Layout {
-    pub fn holds(&self, cell: Cell, shard: Shard) -> bool {
-        (cell.0 + self.cells - shard.0 % self.cells) % self.cells < self.in_a_row
-    }
-}
-
 /// The figures of the rule on cold searchers.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -7,7 +7,7 @@
 //! and the multigets in hand and carries out the [`Advice`]; the values are in `interface.rs`. What was
 //! kept of the Pinot talk's selector, what changed and when each exception acts: `docs/design.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -125,12 +125,14 @@
     }
 
     /// What a part of usual weight is expected to take here, in seconds.
-    fn expected(&self, now: Time, peers: f64, cold: &ColdRule) -> f64 {
+    fn expected(&self, now: Time, peers: f64, work: f64, cold: &ColdRule) -> f64 {
         // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
         let oldest = self.out.iter().map(|(at, extra)| now.since(*at).as_secs() - extra).fold(0.0, f64::max);
-        let (learned, ..) = self.learned(now, peers);
-        // One that starts cold looks empty: it is expected to be slow until it has had time to warm.
-        learned.max(oldest).max(peers / self.capacity(now, cold))
+        // One that starts cold looks empty: it is expected to be slow until it has had time to warm. How
+        // long its peers' queues are says nothing of its own.
+        let capacity = self.capacity(now, cold);
+        let start = if capacity < 1.0 && self.latency.is_none() { work } else { self.learned(now, peers).0 };
+        start.max(oldest).max(work / capacity)
     }
 }
 
@@ -141,6 +143,13 @@
     home: Option<Zone>,
     cross_zone_price: f64,
     searchers: BTreeMap<SearcherId, Searcher>,
+    /// By shard modulo cells: the searchers that hold it and are neither draining nor gone.
+    holders: Vec<Vec<SearcherId>>,
+    /// The middle latency average of those heard from, and how many are warm; as of the last outcome.
+    middle: Option<f64>,
+    warm: usize,
+    /// About the least that a part of usual weight takes: its work without waiting.
+    work: f64,
     /// Parts of usual weight returned of late, fading out over `FLOW_S`, and as of when.
     flow: (f64, Time),
 }
@@ -154,15 +163,14 @@
 
 impl Sender {
     pub fn new(now: Time, layout: Layout, cold: ColdRule, home: Option<Zone>, cross_zone_price: f64) -> Self {
-        let searchers = BTreeMap::new();
-        Sender { layout, cold, home, cross_zone_price, searchers, flow: (0.0, now) }
+        let (searchers, holders, flow) = (BTreeMap::new(), vec![Vec::new(); layout.cells], (0.0, now));
+        Sender { layout, cold, home, cross_zone_price, searchers, holders, middle: None, warm: 0, work: 0.0, flow }
     }
 
     fn news(&mut self, now: Time, list: Vec<Listed>, complete: bool) {
-        for (id, searcher) in self.searchers.iter_mut().filter(|_| complete) {
-            if !list.iter().any(|line| line.id == *id) {
-                searcher.listed.state = SearcherState::Gone;
-            }
+        let named: BTreeSet<&SearcherId> = list.iter().map(|line| &line.id).collect();
+        for (_, missing) in self.searchers.iter_mut().filter(|(id, _)| complete && !named.contains(id)) {
+            missing.listed.state = SearcherState::Gone;
         }
         for line in list {
             let entry = self.searchers.entry(line.id.clone());
@@ -176,15 +184,28 @@
             searcher.listed = Listed { up_since: start, ..line };
         }
         self.searchers.retain(|_, s| s.listed.state != SearcherState::Gone || !s.out.is_empty());
+        let Layout { cells, in_a_row } = self.layout;
+        self.holders = vec![Vec::new(); cells];
+        for (id, s) in self.searchers.iter().filter(|(_, s)| s.listed.state == SearcherState::Up) {
+            let held = (0..in_a_row.min(cells)).map(|j| (s.listed.cell.0 % cells + cells - j) % cells);
+            held.for_each(|shard| self.holders[shard].push(id.clone()));
+        }
+        self.survey(now);
+    }
+
+    /// Works out what concerns the whole fleet, so that a part costs no more than its few holders.
+    fn survey(&mut self, now: Time) {
+        let up = || self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
+        let mut heard: Vec<f64> = up().filter_map(|s| s.latency).collect();
+        let half = heard.len() / 2;
+        self.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
+        self.middle = (!heard.is_empty()).then(|| *heard.select_nth_unstable_by(half, f64::total_cmp).1);
     }
 
-    /// The middle latency average of those heard from; with none, half the latency budget. The design says the mean: one
-    /// dead searcher's time-outs would then make all others look slow and shut the gate.
+    /// The middle latency average of those heard from; with none, half the latency budget. The design says
+    /// the mean: one dead searcher's time-outs would then make all others look slow and shut the gate.
     fn peers(&self, budget: Span) -> f64 {
-        let heard = self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
-        let mut heard: Vec<f64> = heard.filter_map(|s| s.latency).collect();
-        heard.sort_by(f64::total_cmp);
-        heard.get(heard.len() / 2).copied().unwrap_or(budget.as_secs() / 2.0)
+        self.middle.unwrap_or(budget.as_secs() / 2.0)
     }
 
     /// Parts of usual weight returned of late, of which `more` just now.
@@ -202,8 +223,7 @@
         if capacity >= 1.0 {
             return Span::ZERO;
         }
-        let warm = |s: &&Searcher| s.listed.state == SearcherState::Up && s.capacity(now, &self.cold) >= 1.0;
-        let rate = self.flow(now, 0.0) / FLOW_S / self.searchers.values().filter(warm).count().max(1) as f64;
+        let rate = self.flow(now, 0.0) / FLOW_S / self.warm.max(1) as f64;
         let allowed = self.cold.fall_multiple * capacity * rate;
         // A mixer that has just started knows no rate: one part a window.
         let window = self.cold.tip_after.as_secs();
@@ -212,9 +232,7 @@
 
     /// The searchers that hold a shard and are neither draining nor gone.
     fn holders(&self, shard: Shard) -> impl Iterator<Item = (&SearcherId, &Searcher)> {
-        self.searchers.iter().filter(move |(_, s)| {
-            s.listed.state == SearcherState::Up && self.layout.holds(s.listed.cell, shard)
-        })
+        self.holders[shard.0 % self.layout.cells].iter().map(|id| (id, &self.searchers[id]))
     }
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
@@ -236,7 +254,7 @@
                 soonest = soonest.into_iter().chain([gap.saturating_sub(waited)]).min();
                 continue;
             }
-            let expected = s.expected(now, peers, &self.cold);
+            let expected = s.expected(now, peers, self.work, &self.cold);
             let queue = s.out.len() as f64 + s.learned(now, peers).2 + 1.0;
             let far = s.listed.zone.is_some() && s.listed.zone != self.home;
             let crossing = if far { CROSSING * self.cross_zone_price * budget.as_secs() } else { 0.0 };
@@ -389,10 +407,9 @@
     /// Latency and hint of parts of each op type and step, so that unlike work can share one average.
     usual: Vec<[(Mean, Mean); 2]>,
     all: Mean,
-    /// Of parts of usual weight: mean latency, its deviation, and about the least: work without waiting.
+    /// Of parts of usual weight: mean latency and its deviation.
     mean: Mean,
     deviation: Mean,
-    work: f64,
     /// The time that most clients of each op type are given: a first try's. With how many votes.
     first_try: Vec<(Span, i32)>,
     sender: Sender,
@@ -420,7 +437,6 @@
             all: mean,
             mean,
             deviation: mean,
-            work: 0.0,
             first_try: vec![(Span::ZERO, 0); kinds],
             sender,
             further,
@@ -485,6 +501,7 @@
             self.learn(op, p, elapsed, sample);
             self.sender.flow = (self.sender.flow(now, weight), now);
         }
+        self.sender.survey(now);
         if nth > 0 && outcome != Outcome::Moot {
             let first = p.sends.iter().filter(|s| s.outcome == Some(Outcome::Returned)).count() == 1;
             // About the last ten further sends.
@@ -512,7 +529,7 @@
 
     /// What a part takes beyond a usual one, in seconds.
     fn extra(&self, op: OpTypeId, part: &Part) -> f64 {
-        self.work * (self.weight(op, part) - 1.0)
+        self.sender.work * (self.weight(op, part) - 1.0)
     }
 
     fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
@@ -523,10 +540,10 @@
         if let Some(mean) = self.mean.known() {
             self.deviation.feed((sample - mean).abs());
             // Falls tenfold as readily as it rises, so it settles near the low end.
-            let by = if sample < self.work { 0.1 } else { 0.01 };
-            blend(&mut self.work, sample, by);
+            let by = if sample < self.sender.work { 0.1 } else { 0.01 };
+            blend(&mut self.sender.work, sample, by);
         } else {
-            self.work = sample;
+            self.sender.work = sample;
         }
         self.mean.feed(sample);
     }
@@ -596,16 +613,17 @@
         const SHORT: f64 = 1e-6; // Sums of weights may come up a little short.
         let (op, first) = (self.op(mg), mg.first_answer);
         let over = now >= self.useful_end(mg);
-        if mg.step().next().is_none() {
+        let (mut have, mut may, mut missing, mut parts) = (0.0, 0.0, 0, 0);
+        for (_, p) in mg.step() {
+            parts += 1;
+            have += if p.returned { p.weight } else { 0.0 };
+            missing += usize::from(!p.returned);
+            may += if p.returned || self.may_return(now, mg, p) { p.weight } else { 0.0 };
+        }
+        if parts == 0 {
             return over.then(|| self.give_up(mg));
         }
-        let weigh = |counts: &dyn Fn(&Part) -> bool| -> f64 {
-            mg.step().filter(|(_, p)| counts(p)).map(|(_, p)| p.weight).sum()
-        };
-        let have = weigh(&|p| p.returned);
-        let may = weigh(&|p| p.returned || self.may_return(now, mg, p));
-        let all = mg.step().all(|(_, p)| p.returned);
-        if all || (first.is_none() && have + SHORT >= op.need) {
+        if missing == 0 || (first.is_none() && have + SHORT >= op.need) {
             return Some(Reply::Answered { whole: first.unwrap_or(true) });
         }
         let partial = op.least_share < op.need;
