--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -55,6 +55,8 @@
     last_send: Option<Time>,
     /// Since when it has not returned anything but failures that hint at a dead process.
     down_since: Option<Time>,
+    /// The share of its shards' parts that falls to it by the list, against its own capacity.
+    crowd: f64,
 }
 
 /// Weight of the newest sample in a searcher's averages: the design's first setting.
@@ -64,7 +66,7 @@
     fn new(now: Time, listed: Listed) -> Self {
         let (cold_since, out, queue, latency, good) = (listed.up_since, Vec::new(), 0.0, None, 1.0);
         let (heard, last_send, down_since) = (now, None, None);
-        Searcher { listed, cold_since, out, queue, latency, good, heard, last_send, down_since }
+        Searcher { listed, cold_since, out, queue, latency, good, heard, last_send, down_since, crowd: 1.0 }
     }
 
     /// The share of its capacity that it surely has: a searcher that starts cold warms up evenly.
@@ -199,6 +201,18 @@
         let mut heard: Vec<f64> = up().filter_map(|s| s.latency).collect();
         let half = heard.len() / 2;
         self.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
+        // What one searcher of each cell can do, and so what falls to each for the shards it holds.
+        let Layout { cells, in_a_row } = self.layout;
+        let mut can = vec![0.0; cells];
+        for s in self.searchers.values().filter(|s| s.listed.state == SearcherState::Up) {
+            can[s.listed.cell.0 % cells] += s.capacity(now, &self.cold) * s.learned(now, 1.0).1;
+        }
+        let by_shard = |shard: usize| (0..in_a_row.min(cells)).map(|j| can[(shard + j) % cells]).sum::<f64>();
+        let each: Vec<f64> = (0..cells).map(|shard| 1.0 / by_shard(shard).max(0.01)).collect();
+        for s in self.searchers.values_mut() {
+            let cell = s.listed.cell.0 % cells + cells;
+            s.crowd = (0..in_a_row.min(cells)).map(|j| each[(cell - j) % cells]).sum();
+        }
         self.middle = (!heard.is_empty()).then(|| *heard.select_nth_unstable_by(half, f64::total_cmp).1);
     }
 
@@ -225,9 +239,7 @@
         }
         let rate = self.flow(now, 0.0) / FLOW_S / self.warm.max(1) as f64;
         let allowed = self.cold.fall_multiple * capacity * rate;
-        // A mixer that has just started knows no rate: one part a window.
-        let window = self.cold.tip_after.as_secs();
-        Span::from_secs((1.0 / allowed.max(1e-9)).min(window))
+        Span::from_secs(1.0 / allowed.max(1e-9))
     }
 
     /// The searchers that hold a shard and are neither draining nor gone.
@@ -255,7 +267,7 @@
                 continue;
             }
             let expected = s.expected(now, peers, self.work, &self.cold);
-            let queue = s.out.len() as f64 + s.learned(now, peers).2 + 1.0;
+            let queue = (s.out.len() as f64 + s.learned(now, peers).2 + 1.0) * s.crowd;
             let far = s.listed.zone.is_some() && s.listed.zone != self.home;
             let crossing = if far { CROSSING * self.cross_zone_price * budget.as_secs() } else { 0.0 };
             // One that fails fast looks quick and empty: what counts is the time to an answer, and a part
