--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -83,7 +83,14 @@
     }
 
     /// Feeds one outcome. A failure never makes a searcher look quicker than its peers.
-    fn ended(&mut self, now: Time, send: &Send, outcome: Outcome, elapsed: Span, peers: f64) -> Option<f64> {
+    fn ended(
+        &mut self,
+        now: Time,
+        send: &Send,
+        outcome: Outcome,
+        elapsed: Span,
+        peers: (f64, f64),
+    ) -> Option<f64> {
         let place = self.out.iter().position(|(at, _)| *at == send.at)?;
         let (_, extra) = self.out.swap_remove(place);
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
@@ -93,7 +100,7 @@
         // Waiting is common to all parts, work is not: what is more than usual of it comes off.
         let sample = (elapsed.as_secs() - extra).max(elapsed.as_secs() * 0.2);
         let returned = outcome == Outcome::Returned;
-        let fed = if returned { sample } else { sample.max(peers).max(self.latency.unwrap_or(0.0)) };
+        let fed = if returned { sample } else { sample.max(peers.0).max(self.latency.unwrap_or(0.0)) };
         let learned = self.learned(now, peers);
         self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * NEWEST));
         self.good = learned.1;
@@ -118,16 +125,17 @@
 
     /// Its latency average, share of good sends and queue EWMA, as far as they still count. A replica slowed
     /// once gets few parts to correct them, so with nothing out or heard they drift to those of its peers.
-    fn learned(&self, now: Time, peers: f64) -> (f64, f64, f64) {
+    fn learned(&self, now: Time, peers: (f64, f64)) -> (f64, f64, f64) {
         let idle = if self.out.is_empty() { now.since(self.heard).as_secs() } else { 0.0 };
         // Half in 20 s: a trial now and then while a usual trouble lasts; a few seconds were too eager.
         let memory = 0.5f64.powf(idle / 20.0);
-        let latency = self.latency.unwrap_or(peers);
-        (peers + (latency - peers) * memory, 1.0 + (self.good - 1.0) * memory, self.queue * memory)
+        let latency = self.latency.unwrap_or(peers.0);
+        let good = if self.latency.is_some() { self.good } else { peers.1 };
+        (peers.0 + (latency - peers.0) * memory, peers.1 + (good - peers.1) * memory, self.queue * memory)
     }
 
     /// What a part of usual weight is expected to take here, in seconds.
-    fn expected(&self, now: Time, peers: f64, work: f64, cold: &ColdRule) -> f64 {
+    fn expected(&self, now: Time, peers: (f64, f64), work: f64, cold: &ColdRule) -> f64 {
         // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
         let oldest = self.out.iter().map(|(at, extra)| now.since(*at).as_secs() - extra).fold(0.0, f64::max);
         // One that starts cold looks empty: it is expected to be slow until it has had time to warm. How
@@ -149,6 +157,8 @@
     holders: Vec<Vec<SearcherId>>,
     /// The middle latency average of those heard from, and how many are warm; as of the last outcome.
     middle: Option<f64>,
+    /// Of each zone, where enough were heard from of late: middle latency and mean share of good sends.
+    zones: BTreeMap<Option<Zone>, (f64, f64)>,
     warm: usize,
     /// About the least that a part of usual weight takes: its work without waiting.
     work: f64,
@@ -166,7 +176,19 @@
 impl Sender {
     pub fn new(now: Time, layout: Layout, cold: ColdRule, home: Option<Zone>, cross_zone_price: f64) -> Self {
         let (searchers, holders, flow) = (BTreeMap::new(), vec![Vec::new(); layout.cells], (0.0, now));
-        Sender { layout, cold, home, cross_zone_price, searchers, holders, middle: None, warm: 0, work: 0.0, flow }
+        Sender {
+            layout,
+            cold,
+            home,
+            cross_zone_price,
+            searchers,
+            holders,
+            middle: None,
+            zones: BTreeMap::new(),
+            warm: 0,
+            work: 0.0,
+            flow,
+        }
     }
 
     fn news(&mut self, now: Time, list: Vec<Listed>, complete: bool) {
@@ -201,11 +223,25 @@
         let mut heard: Vec<f64> = up().filter_map(|s| s.latency).collect();
         let half = heard.len() / 2;
         self.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
+        let mut zones: BTreeMap<Option<Zone>, (Vec<f64>, f64)> = BTreeMap::new();
+        for s in up().filter(|s| now.since(s.heard).as_secs() < 20.0) {
+            let (latencies, good) = zones.entry(s.listed.zone).or_default();
+            latencies.extend(s.latency);
+            *good += if s.latency.is_some() { s.good } else { 0.0 };
+        }
+        zones.retain(|_, (latencies, _)| latencies.len() >= 3);
+        self.zones = zones
+            .into_iter()
+            .map(|(zone, (mut l, good))| {
+                let half = l.len() / 2;
+                (zone, (*l.select_nth_unstable_by(half, f64::total_cmp).1, good / l.len() as f64))
+            })
+            .collect();
         // What one searcher of each cell can do, and so what falls to each for the shards it holds.
         let Layout { cells, in_a_row } = self.layout;
         let mut can = vec![0.0; cells];
         for s in self.searchers.values().filter(|s| s.listed.state == SearcherState::Up) {
-            can[s.listed.cell.0 % cells] += s.capacity(now, &self.cold) * s.learned(now, 1.0).1;
+            can[s.listed.cell.0 % cells] += s.capacity(now, &self.cold) * s.learned(now, (1.0, 1.0)).1;
         }
         let by_shard = |shard: usize| (0..in_a_row.min(cells)).map(|j| can[(shard + j) % cells]).sum::<f64>();
         let each: Vec<f64> = (0..cells).map(|shard| 1.0 / by_shard(shard).max(0.01)).collect();
@@ -222,6 +258,11 @@
         self.middle.unwrap_or(budget.as_secs() / 2.0)
     }
 
+    /// What a searcher not heard from is taken to be like: those of its zone, else of the fleet.
+    fn near(&self, zone: Option<Zone>, budget: Span) -> (f64, f64) {
+        self.zones.get(&zone).copied().unwrap_or((self.peers(budget), 1.0))
+    }
+
     /// Parts of usual weight returned of late, of which `more` just now.
     fn flow(&self, now: Time, more: f64) -> f64 {
         let (flow, at) = self.flow;
@@ -250,7 +291,7 @@
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
     /// in `not`, unless there is no other.
     fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], budget: Span, rng: &mut ChaCha8Rng) -> Pick {
-        let peers = self.peers(budget);
+        let peers = |s: &Searcher| self.near(s.listed.zone, budget);
         /// The design's first setting.
         const N: i32 = 3;
         /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
@@ -266,13 +307,13 @@
                 soonest = soonest.into_iter().chain([gap.saturating_sub(waited)]).min();
                 continue;
             }
-            let expected = s.expected(now, peers, self.work, &self.cold);
-            let queue = (s.out.len() as f64 + s.learned(now, peers).2 + 1.0) * s.crowd;
+            let expected = s.expected(now, peers(s), self.work, &self.cold);
+            let queue = (s.out.len() as f64 + s.learned(now, peers(s)).2 + 1.0) * s.crowd;
             let far = s.listed.zone.is_some() && s.listed.zone != self.home;
             let crossing = if far { CROSSING * self.cross_zone_price * budget.as_secs() } else { 0.0 };
             // One that fails fast looks quick and empty: what counts is the time to an answer, and a part
             // has few sends, so failures weigh twice.
-            let failing = s.learned(now, peers).1.max(0.05).powi(2);
+            let failing = s.learned(now, peers(s)).1.max(0.05).powi(2);
             let score = queue.powi(N) * (expected + crossing) / failing;
             let entry = (not.contains(&id), score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
@@ -505,7 +546,8 @@
         let (op, p) = (mg.op_type, &mg.parts[part]);
         let send = &p.sends[nth];
         let outcome = send.outcome.unwrap_or(Outcome::Moot);
-        let peers = self.peers(op);
+        let zone = self.sender.searchers.get(&send.to).and_then(|s| s.listed.zone);
+        let peers = self.sender.near(zone, self.op(mg).latency_budget);
         if let Some(searcher) = self.sender.searchers.get_mut(&send.to)
             && let Some(sample) = searcher.ended(now, send, outcome, elapsed, peers)
         {
