Connections that die unseen when unused are opened anew

Cause: with many mixers each sends to a searcher every few seconds, so nearly every send went on a dropped connection: silence or a reset at sound searchers. Told from dead ones: sends again on new connections to the same searchers were answered.

--- a/crates/lockusher-drill/src/mixer.rs
+++ b/crates/lockusher-drill/src/mixer.rs
@@ -223,6 +223,9 @@
         }
         for order in advice.orders {
             let part = &mut multiget.parts[order.part];
+            if order.anew {
+                self.actions.push(Action::Close { searcher: order.to.as_str().to_owned() });
+            }
             self.actions.push(Action::Relay {
                 corr: part.id.as_str().to_owned(),
                 searcher: order.to.as_str().to_owned(),
--- a/crates/lockusher-drill/src/wire.rs
+++ b/crates/lockusher-drill/src/wire.rs
@@ -382,6 +382,8 @@
 pub enum Action {
     #[serde(rename = "RELAY")]
     Relay { corr: String, searcher: String, limit_us: u64 },
+    #[serde(rename = "CLOSE")]
+    Close { searcher: String },
     #[serde(rename = "WITHDRAW")]
     Withdraw { corr: String, round_no: usize },
     #[serde(rename = "WRAP_UP")]
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -318,6 +318,8 @@
     pub part: usize,
     pub to: SearcherId,
     pub timeout: Span,
+    /// Close what unused connections there are to it first.
+    pub anew: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -43,8 +43,11 @@
     listed: Listed,
     /// When it began to warm up, by the list or by its symptoms.
     cold_since: Option<Time>,
-    /// This mixer's sends out at it: when each left and what its work adds to a usual part's seconds.
-    out: Vec<(Time, f64)>,
+    /// This mixer's sends out at it: when each left, what its work adds to a usual part's seconds, and
+    /// whether it went on a connection that had not been used for a while.
+    out: Vec<(Time, f64, bool)>,
+    /// Its last send came to nothing, so the connection may be dead.
+    suspect: bool,
     /// EWMA of the number of sends out.
     queue: f64,
     /// EWMA of latency in seconds, as of a part of usual weight.
@@ -65,8 +68,9 @@
 impl Searcher {
     fn new(now: Time, listed: Listed) -> Self {
         let (cold_since, out, queue, latency, good) = (listed.up_since, Vec::new(), 0.0, None, 1.0);
-        let (heard, last_send, down_since) = (now, None, None);
-        Searcher { listed, cold_since, out, queue, latency, good, heard, last_send, down_since, crowd: 1.0 }
+        let (suspect, heard, last_send, down_since, crowd) = (false, now, None, None, 1.0);
+        #[rustfmt::skip]
+        return Searcher { listed, cold_since, out, suspect, queue, latency, good, heard, last_send, down_since, crowd };
     }
 
     /// The share of its capacity that it surely has: a searcher that starts cold warms up evenly.
@@ -76,8 +80,17 @@
         (cold.starts_at + (1.0 - cold.starts_at) * warmth).min(1.0)
     }
 
-    fn sent(&mut self, now: Time, extra: f64) {
-        self.out.push((now, extra));
+    /// Whether a send now would go on a connection that has not been used for a while.
+    fn kept(&self, now: Time) -> bool {
+        // Far shorter than what keeps a connection open, longer than the gaps of steady traffic.
+        const UNUSED: Span = Span::from_millis(250);
+        let used = self.last_send.map(|at| at.max(self.heard));
+        self.out.is_empty() && used.is_some_and(|at| now.since(at) > UNUSED)
+    }
+
+    fn sent(&mut self, now: Time, extra: f64, anew: bool) {
+        let kept = self.kept(now) && !anew;
+        self.out.push((now, extra, kept));
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
         self.last_send = Some(now);
     }
@@ -91,8 +104,8 @@
         elapsed: Span,
         peers: (f64, f64),
     ) -> Option<f64> {
-        let place = self.out.iter().position(|(at, _)| *at == send.at)?;
-        let (_, extra) = self.out.swap_remove(place);
+        let place = self.out.iter().position(|(at, ..)| *at == send.at)?;
+        let (_, extra, kept) = self.out.swap_remove(place);
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
         if outcome == Outcome::Moot {
             return None;
@@ -100,11 +113,12 @@
         // Waiting is common to all parts, work is not: what is more than usual of it comes off.
         let sample = (elapsed.as_secs() - extra).max(elapsed.as_secs() * 0.2);
         let returned = outcome == Outcome::Returned;
+        self.suspect = matches!(outcome, Outcome::Broken | Outcome::TimedOut | Outcome::Withdrawn);
         let fed = if returned { sample } else { sample.max(peers.0).max(self.latency.unwrap_or(0.0)) };
         let learned = self.learned(now, peers);
         self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * NEWEST));
         self.good = learned.1;
-        if outcome != Outcome::Withdrawn {
+        if outcome != Outcome::Withdrawn && !(kept && self.suspect) {
             blend(&mut self.good, f64::from(returned), NEWEST);
         }
         self.heard = now;
@@ -112,7 +126,8 @@
         // connection, then an answer. After a long hang that was no restart, it costs the searcher some
         // traffic for one ramp; mere pauses and queues are shorter than `DEAD_FOR`.
         const DEAD_FOR: Span = Span::from_millis(2_000);
-        if matches!(outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut) {
+        let dead = matches!(outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut);
+        if dead && !kept {
             self.down_since.get_or_insert(now);
         } else if let Some(since) = self.down_since.take_if(|_| returned)
             && now.since(since) > DEAD_FOR
@@ -137,7 +152,8 @@
     /// What a part of usual weight is expected to take here, in seconds.
     fn expected(&self, now: Time, peers: (f64, f64), work: f64, cold: &ColdRule) -> f64 {
         // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
-        let oldest = self.out.iter().map(|(at, extra)| now.since(*at).as_secs() - extra).fold(0.0, f64::max);
+        let oldest =
+            self.out.iter().map(|(at, extra, _)| now.since(*at).as_secs() - extra).fold(0.0, f64::max);
         // One that starts cold looks empty: it is expected to be slow until it has had time to warm. How
         // long its peers' queues are says nothing of its own.
         let capacity = self.capacity(now, cold);
@@ -160,6 +176,9 @@
     /// Of each zone, where enough were heard from of late: middle latency and mean share of good sends.
     zones: BTreeMap<Option<Zone>, (f64, f64)>,
     warm: usize,
+    /// Share of sends that came to nothing: on connections not used for a while, as of when; on others.
+    reaped: (f64, Time),
+    lost: f64,
     /// About the least that a part of usual weight takes: its work without waiting.
     work: f64,
     /// Parts of usual weight returned of late, fading out over `FLOW_S`, and as of when.
@@ -186,6 +205,8 @@
             middle: None,
             zones: BTreeMap::new(),
             warm: 0,
+            reaped: (0.0, now),
+            lost: 0.0,
             work: 0.0,
             flow,
         }
@@ -283,6 +304,27 @@
         Span::from_secs(1.0 / allowed.max(1e-9))
     }
 
+    /// Whether connections left unused for a while die unseen, as some boxes between drop them: sends on
+    /// these come to nothing far more often than others, so it is not the searchers.
+    fn reaping(&self, now: Time) -> bool {
+        self.reaped(now) > (2.0 * self.lost).max(0.2)
+    }
+
+    fn reaped(&self, now: Time) -> f64 {
+        self.reaped.0 * 0.5f64.powf(now.since(self.reaped.1).as_secs() / 20.0)
+    }
+
+    /// Notes whether a send came to nothing.
+    fn fate(&mut self, now: Time, kept: bool, nothing: bool) {
+        // About the last twenty sends.
+        if kept {
+            let reaped = self.reaped(now);
+            self.reaped = (reaped + (f64::from(nothing) - reaped) * 0.05, now);
+        } else {
+            blend(&mut self.lost, f64::from(nothing), 0.05);
+        }
+    }
+
     /// The searchers that hold a shard and are neither draining nor gone.
     fn holders(&self, shard: Shard) -> impl Iterator<Item = (&SearcherId, &Searcher)> {
         self.holders[shard.0 % self.layout.cells].iter().map(|id| (id, &self.searchers[id]))
@@ -548,6 +590,11 @@
         let outcome = send.outcome.unwrap_or(Outcome::Moot);
         let zone = self.sender.searchers.get(&send.to).and_then(|s| s.listed.zone);
         let peers = self.sender.near(zone, self.op(mg).latency_budget);
+        let searcher = self.sender.searchers.get(&send.to);
+        if let Some(&(_, _, kept)) = searcher.and_then(|s| s.out.iter().find(|o| o.0 == send.at)) {
+            let nothing = matches!(outcome, Outcome::Broken | Outcome::TimedOut | Outcome::Withdrawn);
+            self.sender.fate(now, kept, nothing);
+        }
         if let Some(searcher) = self.sender.searchers.get_mut(&send.to)
             && let Some(sample) = searcher.ended(now, send, outcome, elapsed, peers)
         {
@@ -803,13 +850,17 @@
             if further {
                 self.further.made(now);
             }
+            let reaping = self.sender.reaping(now);
+            let mut anew = false;
             if let Some(searcher) = self.sender.searchers.get_mut(to) {
-                searcher.sent(now, extra);
+                anew = searcher.out.is_empty()
+                    && (searcher.suspect || (searcher.kept(now) && (further || reaping)));
+                searcher.sent(now, extra, anew);
             }
             let left = end.since(now);
             let timeout = if second_copies || may_withdraw { left } else { late.min(left) };
             wake = wake.min(now + late);
-            advice.orders.push(Order { part: place, to: to.clone(), timeout });
+            advice.orders.push(Order { part: place, to: to.clone(), timeout, anew });
         }
         advice.again = Some(wake.since(now).max(self.tick));
         advice
--- a/crates/lockusher/tests/host/mod.rs
+++ b/crates/lockusher/tests/host/mod.rs
@@ -297,7 +297,7 @@
             let ends = ends.expect("a send that is out");
             (ends.0, ends.4) = (self.now, Outcome::Withdrawn);
         }
-        for Order { part, to, timeout } in advice.orders {
+        for Order { part, to, timeout, .. } in advice.orders {
             assert!(!multiget.ended, "a send after the final answer");
             let p = &mut multiget.parts[part];
             let fake = self.fakes.get_mut(to.as_str()).expect("a known searcher");
