The newest sample weighs more the longer ago the last one was

Cause: with a sample every five seconds a third of weight means a memory of fifteen; queues change in one or two.

--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -116,7 +116,9 @@
         self.suspect = matches!(outcome, Outcome::Broken | Outcome::TimedOut | Outcome::Withdrawn);
         let fed = if returned { sample } else { sample.max(peers.0).max(self.latency.unwrap_or(0.0)) };
         let learned = self.learned(now, peers);
-        self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * NEWEST));
+        // A queue is another one after some seconds: the longer ago the last sample, the more this one weighs.
+        let newest = 1.0 - (1.0 - NEWEST).powf(1.0 + now.since(self.heard).as_secs());
+        self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * newest));
         self.good = learned.1;
         if outcome != Outcome::Withdrawn && !(kept && self.suspect) {
             blend(&mut self.good, f64::from(returned), NEWEST);
