--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -783,8 +783,9 @@
     /// replica with nothing of ours out is worth a try, so that a stale average is found out, unless many
     /// that were let in missed their latency budget: then averages are right, and tries only add to the load.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
-        /// The slowest of a few parts takes half as much again as one is expected to.
-        const SLOWEST: f64 = 2.2;
+        // The slowest of four parts takes half as much again as one is expected to, and the slowest of many
+        // grows with the logarithm of their number.
+        let slowest = 1.0 + 0.36 * (mg.step().count().max(1) as f64).ln();
         // With a third of those let in missing their budget, an idle replica counts like any other.
         let pass = (self.gate.missed(now) * 3.0).min(1.0);
         let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
@@ -795,7 +796,7 @@
                 let counts = if self.sender.searchers[&id].out.is_empty() { pass } else { 1.0 };
                 (expected + self.extra(mg.op_type, p)) * counts
             });
-            in_time += if takes * SLOWEST > left { 0.0 } else { p.weight };
+            in_time += if takes * slowest > left { 0.0 } else { p.weight };
         }
         in_time < self.op(mg).least_share.min(self.op(mg).need)
     }
