A replica not expected in time is passed over while another is

Cause: with N = 3 a second part at a near replica weighs eight times, so parts went over a path known to be slow. Told from slow searchers: mixers in other zones got quick answers from the same ones.

--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -334,14 +334,22 @@
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
     /// in `not`, unless there is no other.
-    fn pick(&self, now: Time, shard: Shard, not: &[&SearcherId], budget: Span, rng: &mut ChaCha8Rng) -> Pick {
+    fn pick(
+        &self,
+        now: Time,
+        shard: Shard,
+        not: &[&SearcherId],
+        budget: Span,
+        left: f64,
+        rng: &mut ChaCha8Rng,
+    ) -> Pick {
         let peers = |s: &Searcher| self.near(s.listed.zone, budget);
         /// The design's first setting.
         const N: i32 = 3;
         /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
         /// yet a sound one elsewhere beats a cold or slow one here.
         const CROSSING: f64 = 20.0;
-        type Entry<'a> = (bool, f64, u32, &'a SearcherId, f64);
+        type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
         let mut best: Option<Entry> = None;
         let mut soonest: Option<Span> = None;
         for (id, s) in self.holders(shard) {
@@ -359,7 +367,8 @@
             // has few sends, so failures weigh twice.
             let failing = s.learned(now, peers(s)).1.max(0.05).powi(2);
             let score = queue.powi(N) * (expected + crossing) / failing;
-            let entry = (not.contains(&id), score, rng.random::<u32>(), id, expected / failing);
+            let passed = 2 * u32::from(not.contains(&id)) + u32::from(expected / failing > left);
+            let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
         }
@@ -791,7 +800,7 @@
         let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
         let (budget, mut in_time) = (self.op(mg).latency_budget, 1e-6);
         for (_, p) in mg.step() {
-            let picked = self.sender.pick(now, p.shard, &[], budget, &mut self.rng);
+            let picked = self.sender.pick(now, p.shard, &[], budget, left, &mut self.rng);
             let takes = picked.map_or(0.0, |(id, expected)| {
                 let counts = if self.sender.searchers[&id].out.is_empty() { pass } else { 1.0 };
                 (expected + self.extra(mg.op_type, p)) * counts
@@ -816,6 +825,7 @@
         let (op, peers, budget) = (mg.op_type, self.peers(mg.op_type), self.op(mg).latency_budget);
         let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
+        let left = cut.since(now).as_secs();
         let mut wake = if now < cut { cut } else { end };
         for (place, p) in mg.step().filter(|(_, p)| !p.returned && !p.closed) {
             let extra = self.extra(op, p);
@@ -832,7 +842,7 @@
             let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
             let further = !tried.is_empty();
             let held_back = further && !self.further.allowed(now);
-            let pick = self.sender.pick(now, p.shard, &tried, budget, &mut self.rng);
+            let pick = self.sender.pick(now, p.shard, &tried, budget, left - extra, &mut self.rng);
             let Some((to, _)) = pick.as_ref().ok().filter(|_| !held_back) else {
                 let again = pick.err().flatten().unwrap_or(Span::from_secs(peers * 0.5));
                 wake = wake.min(now + again.max(self.tick));
