--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -367,7 +367,7 @@
             // has few sends, so failures weigh twice.
             let failing = s.learned(now, peers(s)).1.max(0.05).powi(2);
             let score = queue.powi(N) * (expected + crossing) / failing;
-            let passed = 2 * u32::from(not.contains(&id)) + u32::from(expected / failing > left);
+            let passed = 2 * u32::from(not.contains(&id)) + u32::from(1.5 * expected / failing > left);
             let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
