--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -103,7 +103,7 @@
         outcome: Outcome,
         elapsed: Span,
         peers: (f64, f64),
-    ) -> Option<(f64, f64)> {
+    ) -> Option<f64> {
         let place = self.out.iter().position(|(at, ..)| *at == send.at)?;
         let (_, extra, kept) = self.out.swap_remove(place);
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
@@ -137,7 +137,7 @@
         {
             self.cold_since = Some(now);
         }
-        returned.then_some((sample, learned.0))
+        returned.then_some(sample)
     }
 
     /// Its latency average, share of good sends and queue EWMA, as far as they still count. A replica slowed
@@ -610,10 +610,10 @@
             self.sender.fate(now, kept, nothing);
         }
         if let Some(searcher) = self.sender.searchers.get_mut(&send.to)
-            && let Some((sample, foreseen)) = searcher.ended(now, send, outcome, elapsed, peers)
+            && let Some(sample) = searcher.ended(now, send, outcome, elapsed, peers)
         {
             let weight = self.weight(op, p);
-            self.learn(op, p, elapsed, sample, foreseen);
+            self.learn(op, p, elapsed, sample);
             self.sender.flow = (self.sender.flow(now, weight), now);
         }
         self.sender.survey(now);
@@ -647,13 +647,13 @@
         self.sender.work * (self.weight(op, part) - 1.0)
     }
 
-    fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64, foreseen: f64) {
+    fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
         let (latency, hint) = &mut self.usual[op.0][usize::from(part.second_step)];
         latency.feed(elapsed.as_secs());
         hint.feed(part.hint.map_or(0.0, Span::as_secs));
         self.all.feed(elapsed.as_secs());
-        if self.mean.count > 0.0 {
-            self.deviation.feed((sample - foreseen).abs());
+        if let Some(mean) = self.mean.known() {
+            self.deviation.feed((sample - mean).abs());
             // Falls tenfold as readily as it rises, so it settles near the low end.
             let by = if sample < self.sender.work { 0.1 } else { 0.01 };
             blend(&mut self.sender.work, sample, by);
@@ -720,6 +720,8 @@
         /// The slowest of a few parts takes about this many times the mean.
         const SLOWEST_OF_FEW: f64 = 2.5;
         let takes = self.usual[mg.op_type.0][1].0.known().unwrap_or(op.latency_budget.as_secs() / 8.0);
+        // Those that come in are the quick ones; where queues are long, the rest wait like any part.
+        let takes = takes.max(self.mean.value);
         end - Span::from_secs(takes * SLOWEST_OF_FEW).min(op.latency_budget.times(0.5))
     }
 
@@ -812,14 +814,12 @@
 
     /// How late a part of usual weight is when it is worth another send. A copy of one that is merely late
     /// costs more than it brings, so far out, unless its searcher has been silent since it was sent.
-    fn patience(&self, now: Time, peers: f64, last: Option<&Send>, budget: Span) -> f64 {
-        let to = last.and_then(|s| self.sender.searchers.get(&s.to).map(|to| (to, to.heard > s.at)));
-        let foreseen = to.map(|(s, _)| s.learned(now, self.sender.near(s.listed.zone, budget)).0);
+    fn patience(&self, peers: f64, last: Option<&Send>) -> f64 {
+        let heard = last.and_then(|s| self.sender.searchers.get(&s.to).map(|to| to.heard > s.at));
         // Farther where the first send must be given up for the second.
         let far = if self.further.limits.second_copies { 10.0 } else { 15.0 };
-        let deviations = if to.is_some_and(|(_, heard)| heard) { far } else { far * 2.0 / 3.0 };
-        let usual = foreseen.unwrap_or(self.mean.value);
-        if self.mean.count < 10.0 { peers * 3.0 } else { usual + deviations * self.deviation.value }
+        let deviations = if heard == Some(true) { far } else { far * 2.0 / 3.0 };
+        if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + deviations * self.deviation.value }
     }
 
     fn send_parts(&mut self, now: Time, mg: &Multiget) -> Advice {
@@ -832,7 +832,7 @@
         for (place, p) in mg.step().filter(|(_, p)| !p.returned && !p.closed) {
             let extra = self.extra(op, p);
             let last = p.sends.last().filter(|s| s.outcome.is_none());
-            let late = Span::from_secs(self.patience(now, peers, last, budget) + extra).max(self.tick);
+            let late = Span::from_secs(self.patience(peers, last) + extra).max(self.tick);
             let out: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
             if let Some(due) = out.last().map(|&last| p.sends[last].at + late).filter(|&due| due > now) {
                 wake = wake.min(due);
