--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -345,7 +345,7 @@
     ) -> Pick {
         let peers = |s: &Searcher| self.near(s.listed.zone, budget);
         /// The design's first setting.
-        const N: i32 = 3;
+        const N: i32 = 2;
         /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
         /// yet a sound one elsewhere beats a cold or slow one here.
         const CROSSING: f64 = 20.0;
@@ -814,17 +814,11 @@
 
     /// How late a part of usual weight is when it is worth another send. A copy of one that is merely late
     /// costs more than it brings, so far out, unless its searcher has been silent since it was sent.
-    fn patience(&self, peers: f64, last: Option<&Send>, few: bool) -> f64 {
+    fn patience(&self, peers: f64, last: Option<&Send>) -> f64 {
         let heard = last.and_then(|s| self.sender.searchers.get(&s.to).map(|to| to.heard > s.at));
         // Farther where the first send must be given up for the second.
         let far = if self.further.limits.second_copies { 10.0 } else { 15.0 };
-        let deviations = if few {
-            far / 3.0
-        } else if heard == Some(true) {
-            far
-        } else {
-            far * 2.0 / 3.0
-        };
+        let deviations = if heard == Some(true) { far } else { far * 2.0 / 3.0 };
         if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + deviations * self.deviation.value }
     }
 
@@ -834,13 +828,11 @@
         let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
         let left = cut.since(now).as_secs();
-        // A tenth of the parts holds up the work of all others: copies of so few cost little against it.
-        let few = mg.step().filter(|(_, p)| !p.returned).count() * 10 <= mg.step().count();
         let mut wake = if now < cut { cut } else { end };
         for (place, p) in mg.step().filter(|(_, p)| !p.returned && !p.closed) {
             let extra = self.extra(op, p);
             let last = p.sends.last().filter(|s| s.outcome.is_none());
-            let late = Span::from_secs(self.patience(peers, last, few) + extra).max(self.tick);
+            let late = Span::from_secs(self.patience(peers, last) + extra).max(self.tick);
             let out: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
             if let Some(due) = out.last().map(|&last| p.sends[last].at + late).filter(|&due| due > now) {
                 wake = wake.min(due);
