Missed share as a ratio of fading counts; module reshaped

Cause: a share that halves in 2 s and moves by a fortieth never passes a tenth at one multiget a second, so idle replicas always passed the gate.

--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -172,6 +172,14 @@
     pub in_a_row: usize,
 }
 
+impl Layout {
+    /// The shards, modulo `cells`, that the searchers of a cell hold.
+    pub fn shards_of(self, cell: Cell) -> impl Iterator<Item = usize> {
+        let first = cell.0 % self.cells + self.cells;
+        (0..self.in_a_row.min(self.cells)).map(move |j| (first - j) % self.cells)
+    }
+}
+
 /// The figures of the rule on cold searchers.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
@@ -247,6 +255,11 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::NoConnection | Outcome::Moot)
     }
+
+    /// Whether there was no answer though a connection was there.
+    pub fn came_to_nothing(self) -> bool {
+        matches!(self, Outcome::Broken | Outcome::TimedOut | Outcome::Withdrawn)
+    }
 }
 
 /// One send of a part.
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -38,6 +38,41 @@
     }
 }
 
+/// How often something came to nothing of late: counts that halve in `HALF` seconds, and as of when. It means
+/// the same whether events are many or rare, and is forgotten when there are none.
+struct Share<const HALF: u32> {
+    bad: f64,
+    all: f64,
+    at: Time,
+}
+
+impl<const HALF: u32> Share<HALF> {
+    fn new(at: Time) -> Self {
+        Share { bad: 0.0, all: 0.0, at }
+    }
+
+    fn note(&mut self, now: Time, bad: bool) {
+        let memory = half_in(HALF, now.since(self.at));
+        (self.bad, self.all, self.at) = (self.bad * memory + f64::from(bad), self.all * memory + 1.0, now);
+    }
+
+    /// A few count as good beforehand, so that one or two prove nothing.
+    fn value(&self, now: Time) -> f64 {
+        let memory = half_in(HALF, now.since(self.at));
+        self.bad * memory / (self.all * memory + 3.0)
+    }
+}
+
+/// What is left after a time of what halves in so many seconds.
+fn half_in(seconds: u32, gone: Span) -> f64 {
+    0.5f64.powf(gone.as_secs() / f64::from(seconds))
+}
+
+fn middle(mut values: Vec<f64>) -> Option<f64> {
+    let half = values.len() / 2;
+    (!values.is_empty()).then(|| *values.select_nth_unstable_by(half, f64::total_cmp).1)
+}
+
 /// What is known of one searcher; nothing about it is kept anywhere else.
 struct Searcher {
     listed: Listed,
@@ -58,19 +93,35 @@
     last_send: Option<Time>,
     /// Since when it has not returned anything but failures that hint at a dead process.
     down_since: Option<Time>,
-    /// The share of its shards' parts that falls to it by the list, against its own capacity.
+    /// What falls to it of its shards' parts by the list, against its own capacity.
     crowd: f64,
 }
 
 /// Weight of the newest sample in a searcher's averages: the design's first setting.
 const NEWEST: f64 = 1.0 / 3.0;
 
+/// What was learned of a searcher is half forgotten in so many seconds: a trial now and then while a usual
+/// trouble lasts; a few seconds were too eager.
+const MEMORY: u32 = 20;
+
 impl Searcher {
     fn new(now: Time, listed: Listed) -> Self {
-        let (cold_since, out, queue, latency, good) = (listed.up_since, Vec::new(), 0.0, None, 1.0);
-        let (suspect, heard, last_send, down_since, crowd) = (false, now, None, None, 1.0);
-        #[rustfmt::skip]
-        return Searcher { listed, cold_since, out, suspect, queue, latency, good, heard, last_send, down_since, crowd };
+        let (cold_since, out, suspect, queue, latency) = (listed.up_since, Vec::new(), false, 0.0, None);
+        let (good, heard, last_send, down_since, crowd) = (1.0, now, None, None, 1.0);
+        let searcher = Searcher {
+            listed,
+            cold_since,
+            out,
+            suspect,
+            queue,
+            latency,
+            good,
+            heard,
+            last_send,
+            down_since,
+            crowd,
+        };
+        searcher
     }
 
     /// The share of its capacity that it surely has: a searcher that starts cold warms up evenly.
@@ -81,31 +132,36 @@
     }
 
     /// Whether a send now would go on a connection that has not been used for a while.
-    fn kept(&self, now: Time) -> bool {
+    fn unused(&self, now: Time) -> bool {
         // Far shorter than what keeps a connection open, longer than the gaps of steady traffic.
         const UNUSED: Span = Span::from_millis(250);
         let used = self.last_send.map(|at| at.max(self.heard));
         self.out.is_empty() && used.is_some_and(|at| now.since(at) > UNUSED)
     }
 
-    fn sent(&mut self, now: Time, extra: f64, anew: bool) {
-        let kept = self.kept(now) && !anew;
-        self.out.push((now, extra, kept));
+    /// Notes a send; tells whether it wants a new connection. A connection whose last send came to nothing
+    /// is not used again, nor an unused one for a further send, nor for any where these die unseen.
+    fn sent(&mut self, now: Time, extra: f64, wary: bool) -> bool {
+        let unused = self.unused(now);
+        let anew = self.out.is_empty() && (self.suspect || (unused && wary));
+        self.out.push((now, extra, unused && !anew));
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
         self.last_send = Some(now);
+        anew
     }
 
-    /// Feeds one outcome. A failure never makes a searcher look quicker than its peers.
+    /// Feeds one outcome; tells whether it was on an unused connection, and the latency if it returned. A
+    /// failure never makes a searcher look quicker than its peers.
     fn ended(
         &mut self,
         now: Time,
         send: &Send,
         outcome: Outcome,
         elapsed: Span,
-        peers: (f64, f64),
-    ) -> Option<f64> {
+        peers: Peers,
+    ) -> Option<(bool, f64)> {
         let place = self.out.iter().position(|(at, ..)| *at == send.at)?;
-        let (_, extra, kept) = self.out.swap_remove(place);
+        let (_, extra, unused) = self.out.swap_remove(place);
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
         if outcome == Outcome::Moot {
             return None;
@@ -113,14 +169,15 @@
         // Waiting is common to all parts, work is not: what is more than usual of it comes off.
         let sample = (elapsed.as_secs() - extra).max(elapsed.as_secs() * 0.2);
         let returned = outcome == Outcome::Returned;
-        self.suspect = matches!(outcome, Outcome::Broken | Outcome::TimedOut | Outcome::Withdrawn);
-        let fed = if returned { sample } else { sample.max(peers.0).max(self.latency.unwrap_or(0.0)) };
+        self.suspect = outcome.came_to_nothing();
+        let fed = if returned { sample } else { sample.max(peers.latency).max(self.latency.unwrap_or(0.0)) };
         let learned = self.learned(now, peers);
         // A queue is another one after some seconds: the longer ago the last sample, the more this one weighs.
         let newest = 1.0 - (1.0 - NEWEST).powf(1.0 + now.since(self.heard).as_secs());
         self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * newest));
         self.good = learned.1;
-        if outcome != Outcome::Withdrawn && !(kept && self.suspect) {
+        // What is lost on an unused connection says nothing of the searcher: some box between drops them.
+        if outcome != Outcome::Withdrawn && !(unused && self.suspect) {
             blend(&mut self.good, f64::from(returned), NEWEST);
         }
         self.heard = now;
@@ -129,7 +186,7 @@
         // traffic for one ramp; mere pauses and queues are shorter than `DEAD_FOR`.
         const DEAD_FOR: Span = Span::from_millis(2_000);
         let dead = matches!(outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut);
-        if dead && !kept {
+        if dead && !unused {
             self.down_since.get_or_insert(now);
         } else if let Some(since) = self.down_since.take_if(|_| returned)
             && now.since(since) > DEAD_FOR
@@ -137,33 +194,38 @@
         {
             self.cold_since = Some(now);
         }
-        returned.then_some(sample)
+        Some((unused, sample))
     }
 
     /// Its latency average, share of good sends and queue EWMA, as far as they still count. A replica slowed
     /// once gets few parts to correct them, so with nothing out or heard they drift to those of its peers.
-    fn learned(&self, now: Time, peers: (f64, f64)) -> (f64, f64, f64) {
-        let idle = if self.out.is_empty() { now.since(self.heard).as_secs() } else { 0.0 };
-        // Half in 20 s: a trial now and then while a usual trouble lasts; a few seconds were too eager.
-        let memory = 0.5f64.powf(idle / 20.0);
-        let latency = self.latency.unwrap_or(peers.0);
-        let good = if self.latency.is_some() { self.good } else { peers.1 };
-        (peers.0 + (latency - peers.0) * memory, peers.1 + (good - peers.1) * memory, self.queue * memory)
+    fn learned(&self, now: Time, peers: Peers) -> (f64, f64, f64) {
+        let memory = if self.out.is_empty() { half_in(MEMORY, now.since(self.heard)) } else { 1.0 };
+        let latency = self.latency.unwrap_or(peers.latency);
+        let good = self.latency.map_or(peers.good, |_| self.good);
+        let toward = |peers: f64, own: f64| peers + (own - peers) * memory;
+        (toward(peers.latency, latency), toward(peers.good, good), self.queue * memory)
     }
 
     /// What a part of usual weight is expected to take here, in seconds.
-    fn expected(&self, now: Time, peers: (f64, f64), work: f64, cold: &ColdRule) -> f64 {
+    fn expected(&self, now: Time, peers: Peers, work: f64, cold: &ColdRule) -> f64 {
         // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
-        let oldest =
-            self.out.iter().map(|(at, extra, _)| now.since(*at).as_secs() - extra).fold(0.0, f64::max);
+        let ages = self.out.iter().map(|(at, extra, _)| now.since(*at).as_secs() - extra);
         // One that starts cold looks empty: it is expected to be slow until it has had time to warm. How
         // long its peers' queues are says nothing of its own.
         let capacity = self.capacity(now, cold);
         let start = if capacity < 1.0 && self.latency.is_none() { work } else { self.learned(now, peers).0 };
-        start.max(oldest).max(work / capacity)
+        ages.fold(start, f64::max).max(work / capacity)
     }
 }
 
+/// What a searcher that was not heard from is taken to be like: latency and share of good sends.
+#[derive(Clone, Copy)]
+struct Peers {
+    latency: f64,
+    good: f64,
+}
+
 /// Keeps a record a searcher and picks the replica of each part.
 pub struct Sender {
     layout: Layout,
@@ -171,20 +233,27 @@
     home: Option<Zone>,
     cross_zone_price: f64,
     searchers: BTreeMap<SearcherId, Searcher>,
+    fleet: Fleet,
+    /// Sends that came to nothing: on connections not used for a while, and others.
+    reaped: Share<MEMORY>,
+    lost: Share<MEMORY>,
+    /// Parts of usual weight returned of late, fading out over `FLOW_S`, and as of when.
+    flow: (f64, Time),
+}
+
+/// What concerns the whole fleet, worked out once an outcome, so that a part costs no more than its holders.
+#[derive(Default)]
+struct Fleet {
     /// By shard modulo cells: the searchers that hold it and are neither draining nor gone.
     holders: Vec<Vec<SearcherId>>,
-    /// The middle latency average of those heard from, and how many are warm; as of the last outcome.
+    /// The middle latency average of those heard from, and how many are warm.
     middle: Option<f64>,
-    /// Of each zone, where enough were heard from of late: middle latency and mean share of good sends.
-    zones: BTreeMap<Option<Zone>, (f64, f64)>,
     warm: usize,
-    /// Share of sends that came to nothing: on connections not used for a while, as of when; on others.
-    reaped: (f64, Time),
-    lost: f64,
+    /// By zone, where enough were heard from of late. With few samples those behind one path tell of each
+    /// other: a slow or lossy path shows after a few sends. Does harm if a zone is of very unlike machines.
+    zones: BTreeMap<Option<Zone>, Peers>,
     /// About the least that a part of usual weight takes: its work without waiting.
     work: f64,
-    /// Parts of usual weight returned of late, fading out over `FLOW_S`, and as of when.
-    flow: (f64, Time),
 }
 
 /// The window over which own traffic is measured: some seconds, to ride over bursts.
@@ -196,22 +265,9 @@
 
 impl Sender {
     pub fn new(now: Time, layout: Layout, cold: ColdRule, home: Option<Zone>, cross_zone_price: f64) -> Self {
-        let (searchers, holders, flow) = (BTreeMap::new(), vec![Vec::new(); layout.cells], (0.0, now));
-        Sender {
-            layout,
-            cold,
-            home,
-            cross_zone_price,
-            searchers,
-            holders,
-            middle: None,
-            zones: BTreeMap::new(),
-            warm: 0,
-            reaped: (0.0, now),
-            lost: 0.0,
-            work: 0.0,
-            flow,
-        }
+        let (searchers, fleet, flow) = (BTreeMap::new(), Fleet::default(), (0.0, now));
+        let (reaped, lost) = (Share::new(now), Share::new(now));
+        Sender { layout, cold, home, cross_zone_price, searchers, fleet, reaped, lost, flow }
     }
 
     fn news(&mut self, now: Time, list: Vec<Listed>, complete: bool) {
@@ -231,59 +287,58 @@
             searcher.listed = Listed { up_since: start, ..line };
         }
         self.searchers.retain(|_, s| s.listed.state != SearcherState::Gone || !s.out.is_empty());
-        let Layout { cells, in_a_row } = self.layout;
-        self.holders = vec![Vec::new(); cells];
+        self.fleet.holders = vec![Vec::new(); self.layout.cells];
         for (id, s) in self.searchers.iter().filter(|(_, s)| s.listed.state == SearcherState::Up) {
-            let held = (0..in_a_row.min(cells)).map(|j| (s.listed.cell.0 % cells + cells - j) % cells);
-            held.for_each(|shard| self.holders[shard].push(id.clone()));
+            let shards = self.layout.shards_of(s.listed.cell);
+            shards.for_each(|shard| self.fleet.holders[shard].push(id.clone()));
         }
         self.survey(now);
     }
 
-    /// Works out what concerns the whole fleet, so that a part costs no more than its few holders.
+    /// Works out the fleet's figures anew.
     fn survey(&mut self, now: Time) {
-        let up = || self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
-        let mut heard: Vec<f64> = up().filter_map(|s| s.latency).collect();
-        let half = heard.len() / 2;
-        self.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
-        let mut zones: BTreeMap<Option<Zone>, (Vec<f64>, f64)> = BTreeMap::new();
-        for s in up().filter(|s| now.since(s.heard).as_secs() < 20.0) {
-            let (latencies, good) = zones.entry(s.listed.zone).or_default();
-            latencies.extend(s.latency);
-            *good += if s.latency.is_some() { s.good } else { 0.0 };
-        }
-        zones.retain(|_, (latencies, _)| latencies.len() >= 3);
-        self.zones = zones
-            .into_iter()
-            .map(|(zone, (mut l, good))| {
-                let half = l.len() / 2;
-                (zone, (*l.select_nth_unstable_by(half, f64::total_cmp).1, good / l.len() as f64))
-            })
-            .collect();
-        // What one searcher of each cell can do, and so what falls to each for the shards it holds.
-        let Layout { cells, in_a_row } = self.layout;
+        /// Fewer tell little of a zone.
+        const ENOUGH: usize = 3;
+        let Layout { cells, .. } = self.layout;
+        let (mut all, mut zones) = (Vec::new(), BTreeMap::<_, (Vec<f64>, f64)>::new());
         let mut can = vec![0.0; cells];
+        self.fleet.warm = 0;
         for s in self.searchers.values().filter(|s| s.listed.state == SearcherState::Up) {
-            can[s.listed.cell.0 % cells] += s.capacity(now, &self.cold) * s.learned(now, (1.0, 1.0)).1;
+            let capacity = s.capacity(now, &self.cold);
+            self.fleet.warm += usize::from(capacity >= 1.0);
+            let good = s.learned(now, Peers { latency: 1.0, good: 1.0 }).1;
+            self.layout.shards_of(s.listed.cell).for_each(|shard| can[shard] += capacity * good);
+            all.extend(s.latency);
+            if let Some(latency) = s.latency.filter(|_| now.since(s.heard).as_secs() < f64::from(MEMORY)) {
+                let (latencies, good) = zones.entry(s.listed.zone).or_default();
+                latencies.push(latency);
+                *good += s.good;
+            }
         }
-        let by_shard = |shard: usize| (0..in_a_row.min(cells)).map(|j| can[(shard + j) % cells]).sum::<f64>();
-        let each: Vec<f64> = (0..cells).map(|shard| 1.0 / by_shard(shard).max(0.01)).collect();
         for s in self.searchers.values_mut() {
-            let cell = s.listed.cell.0 % cells + cells;
-            s.crowd = (0..in_a_row.min(cells)).map(|j| each[(cell - j) % cells]).sum();
-        }
-        self.middle = (!heard.is_empty()).then(|| *heard.select_nth_unstable_by(half, f64::total_cmp).1);
+            // A shard's last sound holder gets all its parts, from all mixers, though few of them are ours:
+            // shards that have others had better leave it alone.
+            s.crowd = self.layout.shards_of(s.listed.cell).map(|shard| 1.0 / can[shard].max(0.01)).sum();
+        }
+        self.fleet.middle = middle(all);
+        zones.retain(|_, (latencies, _)| latencies.len() >= ENOUGH);
+        let peers = |(latencies, good): (Vec<f64>, f64)| {
+            let good = good / latencies.len() as f64;
+            Peers { latency: middle(latencies).unwrap_or(0.0), good }
+        };
+        self.fleet.zones = zones.into_iter().map(|(zone, heard)| (zone, peers(heard))).collect();
     }
 
     /// The middle latency average of those heard from; with none, half the latency budget. The design says
     /// the mean: one dead searcher's time-outs would then make all others look slow and shut the gate.
     fn peers(&self, budget: Span) -> f64 {
-        self.middle.unwrap_or(budget.as_secs() / 2.0)
+        self.fleet.middle.unwrap_or(budget.as_secs() / 2.0)
     }
 
     /// What a searcher not heard from is taken to be like: those of its zone, else of the fleet.
-    fn near(&self, zone: Option<Zone>, budget: Span) -> (f64, f64) {
-        self.zones.get(&zone).copied().unwrap_or((self.peers(budget), 1.0))
+    fn near(&self, s: &Searcher, budget: Span) -> Peers {
+        let fleet = Peers { latency: self.peers(budget), good: 1.0 };
+        self.fleet.zones.get(&s.listed.zone).copied().unwrap_or(fleet)
     }
 
     /// Parts of usual weight returned of late, of which `more` just now.
@@ -292,82 +347,56 @@
         flow * (-now.since(at).as_secs() / FLOW_S).exp() + more
     }
 
-    /// How long after its last send a cold searcher may get its next, spread evenly over the rule's window.
-    /// What it can take is judged from what this mixer's warm searchers return: all mixers' rates add up
-    /// to at most what a warm one can do, so each may send its own rate times the rule's multiple and the
-    /// share of capacity that is sure. Under real overload, when rates reach capacity, it uses all of that.
-    fn cold_gap(&self, now: Time, searcher: &Searcher) -> Span {
-        let capacity = searcher.capacity(now, &self.cold);
-        if capacity >= 1.0 {
-            return Span::ZERO;
-        }
-        let rate = self.flow(now, 0.0) / FLOW_S / self.warm.max(1) as f64;
+    /// How long after its last send a cold searcher may get its next, spread evenly. What it can take is
+    /// judged from what this mixer's warm searchers return: all mixers' rates add up to at most what a warm
+    /// one can do, so each may send its own rate times the rule's multiple and the share of capacity that is
+    /// sure. A mixer that has just started knows no rate and waits until it knows one, some seconds: with
+    /// many mixers, even one part each in a window would push a cold searcher over.
+    fn cold_gap(&self, now: Time, capacity: f64) -> Span {
+        let rate = self.flow(now, 0.0) / FLOW_S / self.fleet.warm.max(1) as f64;
         let allowed = self.cold.fall_multiple * capacity * rate;
-        Span::from_secs(1.0 / allowed.max(1e-9))
-    }
-
-    /// Whether connections left unused for a while die unseen, as some boxes between drop them: sends on
-    /// these come to nothing far more often than others, so it is not the searchers.
-    fn reaping(&self, now: Time) -> bool {
-        self.reaped(now) > (2.0 * self.lost).max(0.2)
-    }
-
-    fn reaped(&self, now: Time) -> f64 {
-        self.reaped.0 * 0.5f64.powf(now.since(self.reaped.1).as_secs() / 20.0)
-    }
-
-    /// Notes whether a send came to nothing.
-    fn fate(&mut self, now: Time, kept: bool, nothing: bool) {
-        // About the last twenty sends.
-        if kept {
-            let reaped = self.reaped(now);
-            self.reaped = (reaped + (f64::from(nothing) - reaped) * 0.05, now);
-        } else {
-            blend(&mut self.lost, f64::from(nothing), 0.05);
-        }
+        if capacity < 1.0 { Span::from_secs(1.0 / allowed.max(1e-9)) } else { Span::ZERO }
     }
 
     /// The searchers that hold a shard and are neither draining nor gone.
     fn holders(&self, shard: Shard) -> impl Iterator<Item = (&SearcherId, &Searcher)> {
-        self.holders[shard.0 % self.layout.cells].iter().map(|id| (id, &self.searchers[id]))
+        let ids = self.fleet.holders.get(shard.0 % self.layout.cells);
+        ids.into_iter().flatten().map(|id| (id, &self.searchers[id]))
     }
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
-    /// in `not`, unless there is no other.
-    fn pick(
-        &self,
-        now: Time,
-        shard: Shard,
-        not: &[&SearcherId],
-        budget: Span,
-        left: f64,
-        rng: &mut ChaCha8Rng,
-    ) -> Pick {
-        let peers = |s: &Searcher| self.near(s.listed.zone, budget);
+    /// that were sent this part, unless there is no other, and those not expected to answer in the time left
+    /// while another is: own parts out say little of a shared queue, so the score would spread parts to a
+    /// replica known to be too slow.
+    fn pick(&self, now: Time, part: &Part, budget: Span, left: f64, rng: &mut ChaCha8Rng) -> Pick {
         /// The design's first setting.
-        const N: i32 = 2;
+        const N: i32 = 3;
         /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
         /// yet a sound one elsewhere beats a cold or slow one here.
         const CROSSING: f64 = 20.0;
         type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
         let mut best: Option<Entry> = None;
         let mut soonest: Option<Span> = None;
-        for (id, s) in self.holders(shard) {
-            let gap = self.cold_gap(now, s);
+        for (id, s) in self.holders(part.shard) {
+            let gap = self.cold_gap(now, s.capacity(now, &self.cold));
             let waited = s.last_send.map_or(Span::MAX, |at| now.since(at));
             if waited < gap {
                 soonest = soonest.into_iter().chain([gap.saturating_sub(waited)]).min();
                 continue;
             }
-            let expected = s.expected(now, peers(s), self.work, &self.cold);
-            let queue = (s.out.len() as f64 + s.learned(now, peers(s)).2 + 1.0) * s.crowd;
+            let peers = self.near(s, budget);
+            let (_, good, queue) = s.learned(now, peers);
+            let expected = s.expected(now, peers, self.fleet.work, &self.cold);
+            let queue = (s.out.len() as f64 + queue + 1.0) * s.crowd;
             let far = s.listed.zone.is_some() && s.listed.zone != self.home;
             let crossing = if far { CROSSING * self.cross_zone_price * budget.as_secs() } else { 0.0 };
             // One that fails fast looks quick and empty: what counts is the time to an answer, and a part
             // has few sends, so failures weigh twice.
-            let failing = s.learned(now, peers(s)).1.max(0.05).powi(2);
+            let failing = good.max(0.05).powi(2);
             let score = queue.powi(N) * (expected + crossing) / failing;
-            let passed = 2 * u32::from(not.contains(&id)) + u32::from(1.5 * expected / failing > left);
+            let sent = part.sends.iter().any(|send| send.to == *id);
+            // Half as much again as expected must fit, as for a multiget of a few parts at the gate.
+            let passed = 2 * u32::from(sent) + u32::from(1.5 * expected / failing > left);
             let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
@@ -457,8 +486,9 @@
     longest_come_back: Option<Span>,
     /// Importance asked for by unit of work, on average.
     density: f64,
-    /// EWMA of the share of multigets let in that missed their latency budget, and as of when.
-    missed: (f64, Time),
+    /// Multigets let in that missed their latency budget. It halves in a few seconds, so that a gate that
+    /// lets nobody in opens again.
+    missed: Share<4>,
 }
 
 impl Gate {
@@ -472,7 +502,7 @@
     ) -> Self {
         let shares = tenants.iter().map(|t| t.quota_per_s / mixers.max(1) as f64);
         let quotas = shares.map(|share| (share, share, now)).collect();
-        Gate { quotas, over_share, by_work, longest_come_back, density: 0.0, missed: (0.0, now) }
+        Gate { quotas, over_share, by_work, longest_come_back, density: 0.0, missed: Share::new(now) }
     }
 
     fn took(&mut self, now: Time, mg: &Multiget, worth: f64) {
@@ -488,12 +518,6 @@
         }
     }
 
-    /// The share of multigets let in of late that missed their latency budget. Its half-life of
-    /// 2 s sees to it that a gate that lets nobody in opens again.
-    fn missed(&self, now: Time) -> f64 {
-        self.missed.0 * 0.5f64.powf(now.since(self.missed.1).as_secs() / 2.0)
-    }
-
     /// Importance by unit of work; what exceeds its tenant's share is worth little.
     fn worth(&self, mg: &Multiget, importance: f64, work: f64) -> f64 {
         let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
@@ -509,18 +533,23 @@
     }
 }
 
+/// An op type and what was seen of it.
+struct Kind {
+    op: OpType,
+    /// Latency and hint of parts of each step, so that unlike work can share one average.
+    usual: [(Mean, Mean); 2],
+    /// The time that most clients are given: a first try's. With how many votes.
+    first_try: (Span, i32),
+}
+
 pub struct Policy {
     tick: Span,
     rng: ChaCha8Rng,
-    op_types: Vec<OpType>,
-    /// Latency and hint of parts of each op type and step, so that unlike work can share one average.
-    usual: Vec<[(Mean, Mean); 2]>,
+    kinds: Vec<Kind>,
     all: Mean,
     /// Of parts of usual weight: mean latency and its deviation.
     mean: Mean,
     deviation: Mean,
-    /// The time that most clients of each op type are given: a first try's. With how many votes.
-    first_try: Vec<(Span, i32)>,
     sender: Sender,
     further: Further,
     gate: Gate,
@@ -537,21 +566,10 @@
         gate: Gate,
         asking: Asking,
     ) -> Self {
-        let (mean, kinds) = (Mean::default(), op_types.len());
-        Policy {
-            tick,
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            op_types,
-            usual: vec![[(mean, mean); 2]; kinds],
-            all: mean,
-            mean,
-            deviation: mean,
-            first_try: vec![(Span::ZERO, 0); kinds],
-            sender,
-            further,
-            gate,
-            asking,
-        }
+        let (rng, mean) = (ChaCha8Rng::seed_from_u64(seed), Mean::default());
+        let kind = |op| Kind { op, usual: [(mean, mean); 2], first_try: (Span::ZERO, 0) };
+        let kinds = op_types.into_iter().map(kind).collect();
+        Policy { tick, rng, kinds, all: mean, mean, deviation: mean, sender, further, gate, asking }
     }
 
     /// Discovery told something.
@@ -591,8 +609,7 @@
         let Some(answer) = reply else { return self.send_parts(now, mg) };
         let in_time = matches!(answer, Reply::Answered { .. }) && now <= self.budget_end(mg);
         if !fresh {
-            // The last forty or so that were let in count.
-            self.gate.missed = (self.gate.missed(now) * 0.975 + f64::from(!in_time) * 0.025, now);
+            self.gate.missed.note(now, !in_time);
         }
         Advice { reply, ..Advice::default() }
     }
@@ -602,19 +619,17 @@
         let (op, p) = (mg.op_type, &mg.parts[part]);
         let send = &p.sends[nth];
         let outcome = send.outcome.unwrap_or(Outcome::Moot);
-        let zone = self.sender.searchers.get(&send.to).and_then(|s| s.listed.zone);
-        let peers = self.sender.near(zone, self.op(mg).latency_budget);
-        let searcher = self.sender.searchers.get(&send.to);
-        if let Some(&(_, _, kept)) = searcher.and_then(|s| s.out.iter().find(|o| o.0 == send.at)) {
-            let nothing = matches!(outcome, Outcome::Broken | Outcome::TimedOut | Outcome::Withdrawn);
-            self.sender.fate(now, kept, nothing);
-        }
-        if let Some(searcher) = self.sender.searchers.get_mut(&send.to)
-            && let Some(sample) = searcher.ended(now, send, outcome, elapsed, peers)
+        let peers =
+            self.sender.searchers.get(&send.to).map(|s| self.sender.near(s, self.op(mg).latency_budget));
+        if let Some((searcher, peers)) = self.sender.searchers.get_mut(&send.to).zip(peers)
+            && let Some((unused, sample)) = searcher.ended(now, send, outcome, elapsed, peers)
         {
-            let weight = self.weight(op, p);
-            self.learn(op, p, elapsed, sample);
-            self.sender.flow = (self.sender.flow(now, weight), now);
+            let fate = if unused { &mut self.sender.reaped } else { &mut self.sender.lost };
+            fate.note(now, outcome.came_to_nothing());
+            if outcome == Outcome::Returned {
+                self.sender.flow = (self.sender.flow(now, self.weight(op, p)), now);
+                self.learn(op, p, elapsed, sample);
+            }
         }
         self.sender.survey(now);
         if nth > 0 && outcome != Outcome::Moot {
@@ -626,16 +641,16 @@
     }
 
     fn op(&self, mg: &Multiget) -> &OpType {
-        &self.op_types[mg.op_type.0]
+        &self.kinds[mg.op_type.0].op
     }
 
     fn peers(&self, op: OpTypeId) -> f64 {
-        self.sender.peers(self.op_types[op.0].latency_budget)
+        self.sender.peers(self.kinds[op.0].op.latency_budget)
     }
 
     /// A part's expected work against that of a usual part.
     fn weight(&self, op: OpTypeId, part: &Part) -> f64 {
-        let (latency, hint) = &self.usual[op.0][usize::from(part.second_step)];
+        let (latency, hint) = &self.kinds[op.0].usual[usize::from(part.second_step)];
         let by_kind = latency.known().map_or(1.0, |l| l / self.all.value);
         let by_hint = part.hint.filter(|_| hint.value > 0.0).map_or(1.0, |h| h.as_secs() / hint.value);
         // Hints are rough and waiting does not grow with work: no more than a few times either way.
@@ -644,21 +659,21 @@
 
     /// What a part takes beyond a usual one, in seconds.
     fn extra(&self, op: OpTypeId, part: &Part) -> f64 {
-        self.sender.work * (self.weight(op, part) - 1.0)
+        self.sender.fleet.work * (self.weight(op, part) - 1.0)
     }
 
     fn learn(&mut self, op: OpTypeId, part: &Part, elapsed: Span, sample: f64) {
-        let (latency, hint) = &mut self.usual[op.0][usize::from(part.second_step)];
+        let (latency, hint) = &mut self.kinds[op.0].usual[usize::from(part.second_step)];
         latency.feed(elapsed.as_secs());
         hint.feed(part.hint.map_or(0.0, Span::as_secs));
         self.all.feed(elapsed.as_secs());
         if let Some(mean) = self.mean.known() {
             self.deviation.feed((sample - mean).abs());
             // Falls tenfold as readily as it rises, so it settles near the low end.
-            let by = if sample < self.sender.work { 0.1 } else { 0.01 };
-            blend(&mut self.sender.work, sample, by);
+            let by = if sample < self.sender.fleet.work { 0.1 } else { 0.01 };
+            blend(&mut self.sender.fleet.work, sample, by);
         } else {
-            self.sender.work = sample;
+            self.sender.fleet.work = sample;
         }
         self.mean.feed(sample);
     }
@@ -669,8 +684,8 @@
         const VOTES: i32 = 20;
         self.further.took(now, mg.parts.len());
         self.gate.took(now, mg, self.worth(mg));
-        let (usual, votes) = self.first_try[mg.op_type.0];
-        self.first_try[mg.op_type.0] = match self.like_first(mg) {
+        let (usual, votes) = self.kinds[mg.op_type.0].first_try;
+        self.kinds[mg.op_type.0].first_try = match self.like_first(mg) {
             true => (usual, (votes + 1).min(VOTES)),
             false if votes > 0 => (usual, votes - 1),
             false => (mg.ends.since(mg.arrived), 1),
@@ -689,7 +704,7 @@
 
     /// Whether the client gave it as long as first tries get.
     fn like_first(&self, mg: &Multiget) -> bool {
-        let (usual, _) = self.first_try[mg.op_type.0];
+        let (usual, _) = self.kinds[mg.op_type.0].first_try;
         let given = mg.ends.since(mg.arrived);
         given.saturating_sub(usual).max(usual.saturating_sub(given)) < Span::from_millis(20)
     }
@@ -719,7 +734,7 @@
         }
         /// The slowest of a few parts takes about this many times the mean.
         const SLOWEST_OF_FEW: f64 = 2.5;
-        let takes = self.usual[mg.op_type.0][1].0.known().unwrap_or(op.latency_budget.as_secs() / 8.0);
+        let takes = self.kinds[mg.op_type.0].usual[1].0.known().unwrap_or(op.latency_budget.as_secs() / 8.0);
         // Those that come in are the quick ones; where queues are long, the rest wait like any part.
         let takes = takes.max(self.mean.value);
         end - Span::from_secs(takes * SLOWEST_OF_FEW).min(op.latency_budget.times(0.5))
@@ -798,11 +813,11 @@
         // grows with the logarithm of their number.
         let slowest = 1.0 + 0.36 * (mg.step().count().max(1) as f64).ln();
         // With a third of those let in missing their budget, an idle replica counts like any other.
-        let pass = (self.gate.missed(now) * 3.0).min(1.0);
+        let pass = (self.gate.missed.value(now) * 3.0).min(1.0);
         let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
         let (budget, mut in_time) = (self.op(mg).latency_budget, 1e-6);
         for (_, p) in mg.step() {
-            let picked = self.sender.pick(now, p.shard, &[], budget, left, &mut self.rng);
+            let picked = self.sender.pick(now, p, budget, left, &mut self.rng);
             let takes = picked.map_or(0.0, |(id, expected)| {
                 let counts = if self.sender.searchers[&id].out.is_empty() { pass } else { 1.0 };
                 (expected + self.extra(mg.op_type, p)) * counts
@@ -828,6 +843,9 @@
         let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
         let left = cut.since(now).as_secs();
+        // Guards against boxes between that drop connections unused for a while: sends on these come to
+        // nothing far more often than others, so it is not the searchers. Costs handshakes if it errs.
+        let reaping = self.sender.reaped.value(now) > (2.0 * self.sender.lost.value(now)).max(0.2);
         let mut wake = if now < cut { cut } else { end };
         for (place, p) in mg.step().filter(|(_, p)| !p.returned && !p.closed) {
             let extra = self.extra(op, p);
@@ -841,10 +859,9 @@
             if !self.may_send(now, mg, p) || !self.in_time(now, mg, p) {
                 continue;
             }
-            let tried: Vec<&SearcherId> = p.sends.iter().map(|s| &s.to).collect();
-            let further = !tried.is_empty();
+            let further = !p.sends.is_empty();
             let held_back = further && !self.further.allowed(now);
-            let pick = self.sender.pick(now, p.shard, &tried, budget, left - extra, &mut self.rng);
+            let pick = self.sender.pick(now, p, budget, left - extra, &mut self.rng);
             let Some((to, _)) = pick.as_ref().ok().filter(|_| !held_back) else {
                 let again = pick.err().flatten().unwrap_or(Span::from_secs(peers * 0.5));
                 wake = wake.min(now + again.max(self.tick));
@@ -868,13 +885,8 @@
             if further {
                 self.further.made(now);
             }
-            let reaping = self.sender.reaping(now);
-            let mut anew = false;
-            if let Some(searcher) = self.sender.searchers.get_mut(to) {
-                anew = searcher.out.is_empty()
-                    && (searcher.suspect || (searcher.kept(now) && (further || reaping)));
-                searcher.sent(now, extra, anew);
-            }
+            let anew =
+                self.sender.searchers.get_mut(to).is_some_and(|s| s.sent(now, extra, further || reaping));
             let left = end.since(now);
             let timeout = if second_copies || may_withdraw { left } else { late.min(left) };
             wake = wake.min(now + late);
