--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -52,7 +52,8 @@
     }
 
     fn note(&mut self, now: Time, bad: bool) {
-        let memory = half_in(HALF, now.since(self.at));
+        // About the last thirty, however fast they come.
+        let memory = half_in(HALF, now.since(self.at)).min(30.0 / (self.all + 1.0));
         (self.bad, self.all, self.at) = (self.bad * memory + f64::from(bad), self.all * memory + 1.0, now);
     }
 
@@ -488,7 +489,7 @@
     density: f64,
     /// Multigets let in that missed their latency budget. It halves in a few seconds, so that a gate that
     /// lets nobody in opens again.
-    missed: Share<4>,
+    missed: Share<2>,
 }
 
 impl Gate {
