--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -60,7 +60,7 @@
     /// A few count as good beforehand, so that one or two prove nothing.
     fn value(&self, now: Time) -> f64 {
         let memory = half_in(HALF, now.since(self.at));
-        self.bad * memory / (self.all * memory + 3.0)
+        self.bad * memory / (self.all * memory + 6.0)
     }
 }
 
@@ -489,7 +489,7 @@
     density: f64,
     /// Multigets let in that missed their latency budget. It halves in a few seconds, so that a gate that
     /// lets nobody in opens again.
-    missed: Share<2>,
+    missed: Share<3>,
 }
 
 impl Gate {
