--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -59,8 +59,7 @@
 
     /// A few count as good beforehand, so that one or two prove nothing.
     fn value(&self, now: Time) -> f64 {
-        let memory = half_in(HALF, now.since(self.at));
-        self.bad * memory / (self.all * memory + 6.0)
+        self.bad / (self.all + 3.0) * half_in(HALF, now.since(self.at))
     }
 }
 
