--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -102,7 +102,7 @@
 
 /// What was learned of a searcher is half forgotten in so many seconds: a trial now and then while a usual
 /// trouble lasts; a few seconds were too eager.
-const MEMORY: u32 = 20;
+const MEMORY: u32 = 8;
 
 impl Searcher {
     fn new(now: Time, listed: Listed) -> Self {
