--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -102,7 +102,7 @@
 
 /// What was learned of a searcher is half forgotten in so many seconds: a trial now and then while a usual
 /// trouble lasts; a few seconds were too eager.
-const MEMORY: u32 = 8;
+const MEMORY: u32 = 20;
 
 impl Searcher {
     fn new(now: Time, listed: Listed) -> Self {
@@ -396,7 +396,7 @@
             let score = queue.powi(N) * (expected + crossing) / failing;
             let sent = part.sends.iter().any(|send| send.to == *id);
             // Half as much again as expected must fit, as for a multiget of a few parts at the gate.
-            let passed = 2 * u32::from(sent) + u32::from(1.5 * expected / failing > left);
+            let passed = 2 * u32::from(sent) + u32::from(expected / failing > left);
             let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
