--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -396,7 +396,8 @@
             let score = queue.powi(N) * (expected + crossing) / failing;
             let sent = part.sends.iter().any(|send| send.to == *id);
             // Half as much again as expected must fit, as for a multiget of a few parts at the gate.
-            let passed = 2 * u32::from(sent) + u32::from(expected / failing > left);
+            let passed =
+                2 * u32::from(sent) + u32::from(1.5 * peers.latency / peers.good.max(0.05).powi(2) > left);
             let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
