--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -68,9 +68,10 @@
     0.5f64.powf(gone.as_secs() / f64::from(seconds))
 }
 
-fn middle(mut values: Vec<f64>) -> Option<f64> {
-    let half = values.len() / 2;
-    (!values.is_empty()).then(|| *values.select_nth_unstable_by(half, f64::total_cmp).1)
+/// The value that one in so many lies under.
+fn lowest(one_in: usize, values: &mut [f64]) -> Option<f64> {
+    let place = values.len() / one_in;
+    (!values.is_empty()).then(|| *values.select_nth_unstable_by(place, f64::total_cmp).1)
 }
 
 /// What is known of one searcher; nothing about it is kept anywhere else.
@@ -223,6 +224,8 @@
 #[derive(Clone, Copy)]
 struct Peers {
     latency: f64,
+    /// What even the quickest quarter takes: the way there, whatever their queues.
+    path: f64,
     good: f64,
 }
 
@@ -306,7 +309,7 @@
         for s in self.searchers.values().filter(|s| s.listed.state == SearcherState::Up) {
             let capacity = s.capacity(now, &self.cold);
             self.fleet.warm += usize::from(capacity >= 1.0);
-            let good = s.learned(now, Peers { latency: 1.0, good: 1.0 }).1;
+            let good = s.learned(now, Peers { latency: 1.0, path: 0.0, good: 1.0 }).1;
             self.layout.shards_of(s.listed.cell).for_each(|shard| can[shard] += capacity * good);
             all.extend(s.latency);
             if let Some(latency) = s.latency.filter(|_| now.since(s.heard).as_secs() < f64::from(MEMORY)) {
@@ -320,11 +323,12 @@
             // shards that have others had better leave it alone.
             s.crowd = self.layout.shards_of(s.listed.cell).map(|shard| 1.0 / can[shard].max(0.01)).sum();
         }
-        self.fleet.middle = middle(all);
+        self.fleet.middle = lowest(2, &mut all);
         zones.retain(|_, (latencies, _)| latencies.len() >= ENOUGH);
-        let peers = |(latencies, good): (Vec<f64>, f64)| {
-            let good = good / latencies.len() as f64;
-            Peers { latency: middle(latencies).unwrap_or(0.0), good }
+        let peers = |(mut heard, good): (Vec<f64>, f64)| {
+            let (latency, path) =
+                (lowest(2, &mut heard).unwrap_or(0.0), lowest(4, &mut heard).unwrap_or(0.0));
+            Peers { latency, path, good: good / heard.len() as f64 }
         };
         self.fleet.zones = zones.into_iter().map(|(zone, heard)| (zone, peers(heard))).collect();
     }
@@ -337,7 +341,7 @@
 
     /// What a searcher not heard from is taken to be like: those of its zone, else of the fleet.
     fn near(&self, s: &Searcher, budget: Span) -> Peers {
-        let fleet = Peers { latency: self.peers(budget), good: 1.0 };
+        let fleet = Peers { latency: self.peers(budget), path: 0.0, good: 1.0 };
         self.fleet.zones.get(&s.listed.zone).copied().unwrap_or(fleet)
     }
 
@@ -396,8 +400,7 @@
             let score = queue.powi(N) * (expected + crossing) / failing;
             let sent = part.sends.iter().any(|send| send.to == *id);
             // Half as much again as expected must fit, as for a multiget of a few parts at the gate.
-            let passed =
-                2 * u32::from(sent) + u32::from(1.5 * peers.latency / peers.good.max(0.05).powi(2) > left);
+            let passed = 2 * u32::from(sent) + u32::from(1.5 * peers.path > left);
             let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
