--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -378,6 +378,7 @@
         /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
         /// yet a sound one elsewhere beats a cold or slow one here.
         const CROSSING: f64 = 20.0;
+        let quickest = self.fleet.zones.values().map(|z| z.path).fold(f64::MAX, f64::min);
         type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
         let mut best: Option<Entry> = None;
         let mut soonest: Option<Span> = None;
@@ -400,7 +401,7 @@
             let score = queue.powi(N) * (expected + crossing) / failing;
             let sent = part.sends.iter().any(|send| send.to == *id);
             // Half as much again as expected must fit, as for a multiget of a few parts at the gate.
-            let passed = 2 * u32::from(sent) + u32::from(1.5 * peers.path > left);
+            let passed = 2 * u32::from(sent) + u32::from(peers.path > 3.0 * quickest);
             let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
