--- a/crates/lockusher-drill/src/mixer.rs
+++ b/crates/lockusher-drill/src/mixer.rs
@@ -42,7 +42,7 @@
             facts.longest_come_back(),
         );
         let asking = Asking::new(now, facts.ask_every());
-        let policy = Policy::new(seed, tick, op_types, sender, further, gate, asking);
+        let policy = Policy::new(seed, tick, op_types, (sender, further, gate, asking));
         Ok(Mixer {
             policy,
             names: facts.names(),
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -1,4 +1,5 @@
-//! The plain values that the decision module is asked with and answers with. Nothing here decides.
+//! The plain values that the decision module is asked with and answers with, and the kinds of average it
+//! keeps. Nothing here decides, and no value is set here.
 
 use std::collections::BTreeMap;
 use std::ops::{Add, Sub};
@@ -371,3 +372,60 @@
 
 /// The multigets that the host has in hand.
 pub type InHand = BTreeMap<MultigetId, Multiget>;
+
+/// Moves an average toward a sample.
+pub fn blend(average: &mut f64, sample: f64, weight: f64) {
+    *average += (sample - *average) * weight;
+}
+
+/// What is left after a time of what halves in so many seconds.
+pub fn half_in(seconds: u32, gone: Span) -> f64 {
+    0.5f64.powf(gone.as_secs() / f64::from(seconds))
+}
+
+/// The value that one in so many lies under.
+pub fn lowest(one_in: usize, values: &mut [f64]) -> Option<f64> {
+    let place = values.len() / one_in;
+    (!values.is_empty()).then(|| *values.select_nth_unstable_by(place, f64::total_cmp).1)
+}
+
+/// A plain mean at first, then an average over about the last `LAST` samples.
+#[derive(Clone, Copy, Default)]
+pub struct Mean<const LAST: u32> {
+    pub count: f64,
+    pub value: f64,
+}
+
+impl<const LAST: u32> Mean<LAST> {
+    pub fn feed(&mut self, sample: f64) {
+        self.count = (self.count + 1.0).min(f64::from(LAST));
+        blend(&mut self.value, sample, 1.0 / self.count);
+    }
+
+    pub fn known(&self) -> Option<f64> {
+        (self.count > 0.0).then_some(self.value)
+    }
+}
+
+/// The share of events that were bad, over about the last `LAST`, with `GOOD` counted as good beforehand; it
+/// halves in `HALF` seconds. It means the same whether events are many or rare.
+pub struct Share<const LAST: u32, const GOOD: u32, const HALF: u32> {
+    bad: f64,
+    all: f64,
+    at: Time,
+}
+
+impl<const LAST: u32, const GOOD: u32, const HALF: u32> Share<LAST, GOOD, HALF> {
+    pub fn new(at: Time) -> Self {
+        Share { bad: 0.0, all: 0.0, at }
+    }
+
+    pub fn note(&mut self, now: Time, bad: bool) {
+        let memory = half_in(HALF, now.since(self.at)).min(f64::from(LAST) / (self.all + 1.0));
+        (self.bad, self.all, self.at) = (self.bad * memory + f64::from(bad), self.all * memory + 1.0, now);
+    }
+
+    pub fn value(&self, now: Time) -> f64 {
+        self.bad / (self.all + f64::from(GOOD)) * half_in(HALF, now.since(self.at))
+    }
+}
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -14,66 +14,6 @@
 
 use crate::interface::*;
 
-/// Moves an average toward a sample.
-fn blend(average: &mut f64, sample: f64, weight: f64) {
-    *average += (sample - *average) * weight;
-}
-
-/// A plain mean at first, then an average over about the last hundred samples: long enough to hold through
-/// one searcher's trouble, short enough to follow a day.
-#[derive(Clone, Copy, Default)]
-struct Mean {
-    count: f64,
-    value: f64,
-}
-
-impl Mean {
-    fn feed(&mut self, sample: f64) {
-        self.count = (self.count + 1.0).min(100.0);
-        blend(&mut self.value, sample, 1.0 / self.count);
-    }
-
-    fn known(&self) -> Option<f64> {
-        (self.count > 0.0).then_some(self.value)
-    }
-}
-
-/// How often something came to nothing of late: counts that halve in `HALF` seconds, and as of when. It means
-/// the same whether events are many or rare, and is forgotten when there are none.
-struct Share<const HALF: u32> {
-    bad: f64,
-    all: f64,
-    at: Time,
-}
-
-impl<const HALF: u32> Share<HALF> {
-    fn new(at: Time) -> Self {
-        Share { bad: 0.0, all: 0.0, at }
-    }
-
-    fn note(&mut self, now: Time, bad: bool) {
-        // About the last thirty, however fast they come.
-        let memory = half_in(HALF, now.since(self.at)).min(30.0 / (self.all + 1.0));
-        (self.bad, self.all, self.at) = (self.bad * memory + f64::from(bad), self.all * memory + 1.0, now);
-    }
-
-    /// A few count as good beforehand, so that one or two prove nothing.
-    fn value(&self, now: Time) -> f64 {
-        self.bad / (self.all + 3.0) * half_in(HALF, now.since(self.at))
-    }
-}
-
-/// What is left after a time of what halves in so many seconds.
-fn half_in(seconds: u32, gone: Span) -> f64 {
-    0.5f64.powf(gone.as_secs() / f64::from(seconds))
-}
-
-/// The value that one in so many lies under.
-fn lowest(one_in: usize, values: &mut [f64]) -> Option<f64> {
-    let place = values.len() / one_in;
-    (!values.is_empty()).then(|| *values.select_nth_unstable_by(place, f64::total_cmp).1)
-}
-
 /// What is known of one searcher; nothing about it is kept anywhere else.
 struct Searcher {
     listed: Listed,
@@ -91,7 +31,7 @@
     /// EWMA of the share of sends that did not fail.
     good: f64,
     heard: Time,
-    last_send: Option<Time>,
+    sent_at: Option<Time>,
     /// Since when it has not returned anything but failures that hint at a dead process.
     down_since: Option<Time>,
     /// What falls to it of its shards' parts by the list, against its own capacity.
@@ -101,6 +41,9 @@
 /// Weight of the newest sample in a searcher's averages: the design's first setting.
 const NEWEST: f64 = 1.0 / 3.0;
 
+/// Sends that came to nothing: a few prove little, the last thirty do; known for as long as a searcher.
+type Lost = Share<30, 3, MEMORY>;
+
 /// What was learned of a searcher is half forgotten in so many seconds: a trial now and then while a usual
 /// trouble lasts; a few seconds were too eager.
 const MEMORY: u32 = 20;
@@ -108,21 +51,8 @@
 impl Searcher {
     fn new(now: Time, listed: Listed) -> Self {
         let (cold_since, out, suspect, queue, latency) = (listed.up_since, Vec::new(), false, 0.0, None);
-        let (good, heard, last_send, down_since, crowd) = (1.0, now, None, None, 1.0);
-        let searcher = Searcher {
-            listed,
-            cold_since,
-            out,
-            suspect,
-            queue,
-            latency,
-            good,
-            heard,
-            last_send,
-            down_since,
-            crowd,
-        };
-        searcher
+        let (good, heard, sent_at, down_since, crowd) = (1.0, now, None, None, 1.0);
+        Searcher { listed, cold_since, out, suspect, queue, latency, good, heard, sent_at, down_since, crowd }
     }
 
     /// The share of its capacity that it surely has: a searcher that starts cold warms up evenly.
@@ -136,7 +66,7 @@
     fn unused(&self, now: Time) -> bool {
         // Far shorter than what keeps a connection open, longer than the gaps of steady traffic.
         const UNUSED: Span = Span::from_millis(250);
-        let used = self.last_send.map(|at| at.max(self.heard));
+        let used = self.sent_at.map(|at| at.max(self.heard));
         self.out.is_empty() && used.is_some_and(|at| now.since(at) > UNUSED)
     }
 
@@ -147,20 +77,14 @@
         let anew = self.out.is_empty() && (self.suspect || (unused && wary));
         self.out.push((now, extra, unused && !anew));
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
-        self.last_send = Some(now);
+        self.sent_at = Some(now);
         anew
     }
 
     /// Feeds one outcome; tells whether it was on an unused connection, and the latency if it returned. A
     /// failure never makes a searcher look quicker than its peers.
-    fn ended(
-        &mut self,
-        now: Time,
-        send: &Send,
-        outcome: Outcome,
-        elapsed: Span,
-        peers: Peers,
-    ) -> Option<(bool, f64)> {
+    fn ended(&mut self, now: Time, send: &Send, elapsed: Span, peers: Peers) -> Option<(bool, f64)> {
+        let outcome = send.outcome.unwrap_or(Outcome::Moot);
         let place = self.out.iter().position(|(at, ..)| *at == send.at)?;
         let (_, extra, unused) = self.out.swap_remove(place);
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
@@ -238,8 +162,8 @@
     searchers: BTreeMap<SearcherId, Searcher>,
     fleet: Fleet,
     /// Sends that came to nothing: on connections not used for a while, and others.
-    reaped: Share<MEMORY>,
-    lost: Share<MEMORY>,
+    reaped: Lost,
+    lost: Lost,
     /// Parts of usual weight returned of late, fading out over `FLOW_S`, and as of when.
     flow: (f64, Time),
 }
@@ -372,7 +296,7 @@
     /// that were sent this part, unless there is no other, and those not expected to answer in the time left
     /// while another is: own parts out say little of a shared queue, so the score would spread parts to a
     /// replica known to be too slow.
-    fn pick(&self, now: Time, part: &Part, budget: Span, left: f64, rng: &mut ChaCha8Rng) -> Pick {
+    fn pick(&self, now: Time, part: &Part, budget: Span, rng: &mut ChaCha8Rng) -> Pick {
         /// The design's first setting.
         const N: i32 = 3;
         /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
@@ -384,7 +308,7 @@
         let mut soonest: Option<Span> = None;
         for (id, s) in self.holders(part.shard) {
             let gap = self.cold_gap(now, s.capacity(now, &self.cold));
-            let waited = s.last_send.map_or(Span::MAX, |at| now.since(at));
+            let waited = s.sent_at.map_or(Span::MAX, |at| now.since(at));
             if waited < gap {
                 soonest = soonest.into_iter().chain([gap.saturating_sub(waited)]).min();
                 continue;
@@ -493,7 +417,7 @@
     density: f64,
     /// Multigets let in that missed their latency budget. It halves in a few seconds, so that a gate that
     /// lets nobody in opens again.
-    missed: Share<3>,
+    missed: Share<30, 3, 3>,
 }
 
 impl Gate {
@@ -538,11 +462,14 @@
     }
 }
 
+/// Over the last hundred samples: holds through one searcher's trouble, yet follows a day.
+type Average = Mean<100>;
+
 /// An op type and what was seen of it.
 struct Kind {
     op: OpType,
     /// Latency and hint of parts of each step, so that unlike work can share one average.
-    usual: [(Mean, Mean); 2],
+    usual: [(Average, Average); 2],
     /// The time that most clients are given: a first try's. With how many votes.
     first_try: (Span, i32),
 }
@@ -551,10 +478,10 @@
     tick: Span,
     rng: ChaCha8Rng,
     kinds: Vec<Kind>,
-    all: Mean,
+    all: Average,
     /// Of parts of usual weight: mean latency and its deviation.
-    mean: Mean,
-    deviation: Mean,
+    mean: Average,
+    deviation: Average,
     sender: Sender,
     further: Further,
     gate: Gate,
@@ -562,16 +489,9 @@
 }
 
 impl Policy {
-    pub fn new(
-        seed: u64,
-        tick: Span,
-        op_types: Vec<OpType>,
-        sender: Sender,
-        further: Further,
-        gate: Gate,
-        asking: Asking,
-    ) -> Self {
-        let (rng, mean) = (ChaCha8Rng::seed_from_u64(seed), Mean::default());
+    pub fn new(seed: u64, tick: Span, op_types: Vec<OpType>, parts: (Sender, Further, Gate, Asking)) -> Self {
+        let (sender, further, gate, asking) = parts;
+        let (rng, mean) = (ChaCha8Rng::seed_from_u64(seed), Average::default());
         let kind = |op| Kind { op, usual: [(mean, mean); 2], first_try: (Span::ZERO, 0) };
         let kinds = op_types.into_iter().map(kind).collect();
         Policy { tick, rng, kinds, all: mean, mean, deviation: mean, sender, further, gate, asking }
@@ -627,7 +547,7 @@
         let peers =
             self.sender.searchers.get(&send.to).map(|s| self.sender.near(s, self.op(mg).latency_budget));
         if let Some((searcher, peers)) = self.sender.searchers.get_mut(&send.to).zip(peers)
-            && let Some((unused, sample)) = searcher.ended(now, send, outcome, elapsed, peers)
+            && let Some((unused, sample)) = searcher.ended(now, send, elapsed, peers)
         {
             let fate = if unused { &mut self.sender.reaped } else { &mut self.sender.lost };
             fate.note(now, outcome.came_to_nothing());
@@ -822,7 +742,7 @@
         let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
         let (budget, mut in_time) = (self.op(mg).latency_budget, 1e-6);
         for (_, p) in mg.step() {
-            let picked = self.sender.pick(now, p, budget, left, &mut self.rng);
+            let picked = self.sender.pick(now, p, budget, &mut self.rng);
             let takes = picked.map_or(0.0, |(id, expected)| {
                 let counts = if self.sender.searchers[&id].out.is_empty() { pass } else { 1.0 };
                 (expected + self.extra(mg.op_type, p)) * counts
@@ -847,7 +767,6 @@
         let (op, peers, budget) = (mg.op_type, self.peers(mg.op_type), self.op(mg).latency_budget);
         let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
-        let left = cut.since(now).as_secs();
         // Guards against boxes between that drop connections unused for a while: sends on these come to
         // nothing far more often than others, so it is not the searchers. Costs handshakes if it errs.
         let reaping = self.sender.reaped.value(now) > (2.0 * self.sender.lost.value(now)).max(0.2);
@@ -866,7 +785,7 @@
             }
             let further = !p.sends.is_empty();
             let held_back = further && !self.further.allowed(now);
-            let pick = self.sender.pick(now, p, budget, left - extra, &mut self.rng);
+            let pick = self.sender.pick(now, p, budget, &mut self.rng);
             let Some((to, _)) = pick.as_ref().ok().filter(|_| !held_back) else {
                 let again = pick.err().flatten().unwrap_or(Span::from_secs(peers * 0.5));
                 wake = wake.min(now + again.max(self.tick));
--- a/crates/lockusher/tests/host/mod.rs
+++ b/crates/lockusher/tests/host/mod.rs
@@ -108,10 +108,12 @@
             7,
             ms(5),
             vec![op_type],
-            Sender::new(now, Layout { cells: 3, in_a_row: 3 }, cold, None, 0.0),
-            Further::new(limits, site.budget),
-            Gate::new(now, &[], 1.0, 1, site.by_work, site.come_back),
-            Asking::new(now, site.ask_every),
+            (
+                Sender::new(now, Layout { cells: 3, in_a_row: 3 }, cold, None, 0.0),
+                Further::new(limits, site.budget),
+                Gate::new(now, &[], 1.0, 1, site.by_work, site.come_back),
+                Asking::new(now, site.ask_every),
+            ),
         );
         let fake = || Fake { takes: ms(100), ends: Some(Outcome::Returned), got: Vec::new() };
         let mut host = Host {
