--- a/crates/lockusher-drill/src/mixer.rs
+++ b/crates/lockusher-drill/src/mixer.rs
@@ -31,13 +31,13 @@
         ensure!(layout.cells > 0, "extra.cells is 0");
         let tick = Span::from_micros(facts.tick_us);
         let second_steps = op_types.iter().map(|op| op.second_step).collect();
-        let sender = Sender::new(now, layout, facts.cold_rule(), facts.home(), facts.cross_zone_price());
+        let site = (facts.home(), facts.cross_zone_price());
+        let sender = Sender::new(now, layout, facts.cold_rule(), site, facts.balancers);
         let further = Further::new(facts.part_limits(), facts.send_budget());
         let gate = Gate::new(
             now,
             &facts.tenants(),
             facts.over_share_worth,
-            facts.balancers,
             facts.by_work(),
             facts.longest_come_back(),
         );
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -429,3 +429,23 @@
         self.bad / (self.all + f64::from(GOOD)) * half_in(HALF, now.since(self.at))
     }
 }
+
+/// How much comes a second, over a time that halves in `HALF` seconds.
+pub struct Rate<const HALF: u32> {
+    amount: f64,
+    at: Time,
+}
+
+impl<const HALF: u32> Rate<HALF> {
+    pub fn new(at: Time) -> Self {
+        Rate { amount: 0.0, at }
+    }
+
+    pub fn add(&mut self, now: Time, amount: f64) {
+        (self.amount, self.at) = (self.amount * half_in(HALF, now.since(self.at)) + amount, now);
+    }
+
+    pub fn per_second(&self, now: Time) -> f64 {
+        self.amount * half_in(HALF, now.since(self.at)) * std::f64::consts::LN_2 / f64::from(HALF)
+    }
+}
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -3,9 +3,8 @@
 //!
 //! How to call it: build a [`Policy`], tell it [`Policy::news`] of the searchers, then ask three things:
 //! [`Policy::place`], where to send this multiget (or not yet, or never); [`Policy::outcome`], what to do
-//! after this outcome; [`Policy::wait`], how long to wait and whose turn it is. The host keeps the timers
-//! and the multigets in hand and carries out the [`Advice`]; the values are in `interface.rs`. What was
-//! kept of the Pinot talk's selector, what changed and when each exception acts: `docs/design.md`.
+//! after this outcome; [`Policy::wait`], how long to wait and whose turn it is. The host keeps timers and
+//! multigets and carries out the [`Advice`]. The values are in `interface.rs`; reasons: `docs/design.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,8 +21,6 @@
     /// This mixer's sends out at it: when each left, what its work adds to a usual part's seconds, and
     /// whether it went on a connection that had not been used for a while.
     out: Vec<(Time, f64, bool)>,
-    /// Its last send came to nothing, so the connection may be dead.
-    suspect: bool,
     /// EWMA of the number of sends out.
     queue: f64,
     /// EWMA of latency in seconds, as of a part of usual weight.
@@ -34,8 +31,6 @@
     sent_at: Option<Time>,
     /// Since when it has not returned anything but failures that hint at a dead process.
     down_since: Option<Time>,
-    /// What falls to it of its shards' parts by the list, against its own capacity.
-    crowd: f64,
 }
 
 /// Weight of the newest sample in a searcher's averages: the design's first setting.
@@ -50,9 +45,9 @@
 
 impl Searcher {
     fn new(now: Time, listed: Listed) -> Self {
-        let (cold_since, out, suspect, queue, latency) = (listed.up_since, Vec::new(), false, 0.0, None);
-        let (good, heard, sent_at, down_since, crowd) = (1.0, now, None, None, 1.0);
-        Searcher { listed, cold_since, out, suspect, queue, latency, good, heard, sent_at, down_since, crowd }
+        let (cold_since, out, queue, latency) = (listed.up_since, Vec::new(), 0.0, None);
+        let (good, heard, sent_at, down_since) = (1.0, now, None, None);
+        Searcher { listed, cold_since, out, queue, latency, good, heard, sent_at, down_since }
     }
 
     /// The share of its capacity that it surely has: a searcher that starts cold warms up evenly.
@@ -62,28 +57,21 @@
         (cold.starts_at + (1.0 - cold.starts_at) * warmth).min(1.0)
     }
 
-    /// Whether a send now would go on a connection that has not been used for a while.
-    fn unused(&self, now: Time) -> bool {
+    /// Notes a send; tells whether it wants a new connection, as a wary one does not go on an unused one.
+    fn sent(&mut self, now: Time, extra: f64, wary: bool) -> bool {
         // Far shorter than what keeps a connection open, longer than the gaps of steady traffic.
         const UNUSED: Span = Span::from_millis(250);
         let used = self.sent_at.map(|at| at.max(self.heard));
-        self.out.is_empty() && used.is_some_and(|at| now.since(at) > UNUSED)
-    }
-
-    /// Notes a send; tells whether it wants a new connection. A connection whose last send came to nothing
-    /// is not used again, nor an unused one for a further send, nor for any where these die unseen.
-    fn sent(&mut self, now: Time, extra: f64, wary: bool) -> bool {
-        let unused = self.unused(now);
-        let anew = self.out.is_empty() && (self.suspect || (unused && wary));
-        self.out.push((now, extra, unused && !anew));
+        let unused = self.out.is_empty() && used.is_some_and(|at| now.since(at) > UNUSED);
+        self.out.push((now, extra, unused && !wary));
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
         self.sent_at = Some(now);
-        anew
+        unused && wary
     }
 
     /// Feeds one outcome; tells whether it was on an unused connection, and the latency if it returned. A
     /// failure never makes a searcher look quicker than its peers.
-    fn ended(&mut self, now: Time, send: &Send, elapsed: Span, peers: Peers) -> Option<(bool, f64)> {
+    fn ended(&mut self, now: Time, send: &Send, elapsed: Span, peers: f64) -> Option<(bool, f64)> {
         let outcome = send.outcome.unwrap_or(Outcome::Moot);
         let place = self.out.iter().position(|(at, ..)| *at == send.at)?;
         let (_, extra, unused) = self.out.swap_remove(place);
@@ -94,21 +82,19 @@
         // Waiting is common to all parts, work is not: what is more than usual of it comes off.
         let sample = (elapsed.as_secs() - extra).max(elapsed.as_secs() * 0.2);
         let returned = outcome == Outcome::Returned;
-        self.suspect = outcome.came_to_nothing();
-        let fed = if returned { sample } else { sample.max(peers.latency).max(self.latency.unwrap_or(0.0)) };
+        let fed = if returned { sample } else { sample.max(peers).max(self.latency.unwrap_or(0.0)) };
         let learned = self.learned(now, peers);
-        // A queue is another one after some seconds: the longer ago the last sample, the more this one weighs.
+        // A queue is another one after some seconds: the longer ago the last sample, the more this weighs.
         let newest = 1.0 - (1.0 - NEWEST).powf(1.0 + now.since(self.heard).as_secs());
         self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * newest));
         self.good = learned.1;
         // What is lost on an unused connection says nothing of the searcher: some box between drops them.
-        if outcome != Outcome::Withdrawn && !(unused && self.suspect) {
+        if outcome != Outcome::Withdrawn && !(unused && outcome.came_to_nothing()) {
             blend(&mut self.good, f64::from(returned), NEWEST);
         }
         self.heard = now;
         // Guards against a process that came back cold before any list said so: silence or a broken
-        // connection, then an answer. After a long hang that was no restart, it costs the searcher some
-        // traffic for one ramp; mere pauses and queues are shorter than `DEAD_FOR`.
+        // connection, then an answer. A long hang costs it some traffic; pauses and queues are shorter.
         const DEAD_FOR: Span = Span::from_millis(2_000);
         let dead = matches!(outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut);
         if dead && !unused {
@@ -124,48 +110,40 @@
 
     /// Its latency average, share of good sends and queue EWMA, as far as they still count. A replica slowed
     /// once gets few parts to correct them, so with nothing out or heard they drift to those of its peers.
-    fn learned(&self, now: Time, peers: Peers) -> (f64, f64, f64) {
+    fn learned(&self, now: Time, peers: f64) -> (f64, f64, f64) {
         let memory = if self.out.is_empty() { half_in(MEMORY, now.since(self.heard)) } else { 1.0 };
-        let latency = self.latency.unwrap_or(peers.latency);
-        let good = self.latency.map_or(peers.good, |_| self.good);
+        let latency = self.latency.unwrap_or(peers);
         let toward = |peers: f64, own: f64| peers + (own - peers) * memory;
-        (toward(peers.latency, latency), toward(peers.good, good), self.queue * memory)
+        (toward(peers, latency), toward(1.0, self.good), self.queue * memory)
     }
 
     /// What a part of usual weight is expected to take here, in seconds.
-    fn expected(&self, now: Time, peers: Peers, work: f64, cold: &ColdRule) -> f64 {
+    fn expected(&self, now: Time, peers: f64, work: f64, cold: &ColdRule) -> f64 {
         // One that swallows parts shows only by sends getting old: the oldest is a lower bound.
         let ages = self.out.iter().map(|(at, extra, _)| now.since(*at).as_secs() - extra);
-        // One that starts cold looks empty: it is expected to be slow until it has had time to warm. How
-        // long its peers' queues are says nothing of its own.
-        let capacity = self.capacity(now, cold);
-        let start = if capacity < 1.0 && self.latency.is_none() { work } else { self.learned(now, peers).0 };
-        ages.fold(start, f64::max).max(work / capacity)
+        // One that starts cold looks empty: it is slow until it has had time to warm.
+        ages.fold(self.learned(now, peers).0, f64::max).max(work / self.capacity(now, cold))
     }
 }
 
-/// What a searcher that was not heard from is taken to be like: latency and share of good sends.
-#[derive(Clone, Copy)]
-struct Peers {
-    latency: f64,
-    /// What even the quickest quarter takes: the way there, whatever their queues.
-    path: f64,
-    good: f64,
-}
+/// Where the mixer is, and the price of a send that leaves that zone.
+type Site = (Option<Zone>, f64);
 
 /// Keeps a record a searcher and picks the replica of each part.
 pub struct Sender {
     layout: Layout,
     cold: ColdRule,
     home: Option<Zone>,
-    cross_zone_price: f64,
+    /// The price of a crossing.
+    price: f64,
+    mixers: usize,
     searchers: BTreeMap<SearcherId, Searcher>,
     fleet: Fleet,
     /// Sends that came to nothing: on connections not used for a while, and others.
     reaped: Lost,
     lost: Lost,
-    /// Parts of usual weight returned of late, fading out over `FLOW_S`, and as of when.
-    flow: (f64, Time),
+    /// Parts of usual weight returned, over some seconds, to ride over bursts.
+    flow: Rate<3>,
 }
 
 /// What concerns the whole fleet, worked out once an outcome, so that a part costs no more than its holders.
@@ -176,25 +154,23 @@
     /// The middle latency average of those heard from, and how many are warm.
     middle: Option<f64>,
     warm: usize,
-    /// By zone, where enough were heard from of late. With few samples those behind one path tell of each
-    /// other: a slow or lossy path shows after a few sends. Does harm if a zone is of very unlike machines.
-    zones: BTreeMap<Option<Zone>, Peers>,
+    /// By zone, where enough were heard from of late: the latency of the middle one, and of one in four. With
+    /// few samples, those behind one path tell of each other. Does harm if a zone is of very unlike machines.
+    zones: BTreeMap<Option<Zone>, (f64, f64)>,
+    /// The lowest of the latter.
+    quickest: f64,
     /// About the least that a part of usual weight takes: its work without waiting.
     work: f64,
 }
 
-/// The window over which own traffic is measured: some seconds, to ride over bursts.
-const FLOW_S: f64 = 5.0;
-
-/// Where a part may go and what it is expected to take there. If nowhere: when a cold replica, now at its
-/// limit, may be asked.
+/// Where a part may go and what it is expected to take there; if nowhere, when a cold replica may be asked.
 type Pick = Result<(SearcherId, f64), Option<Span>>;
 
 impl Sender {
-    pub fn new(now: Time, layout: Layout, cold: ColdRule, home: Option<Zone>, cross_zone_price: f64) -> Self {
-        let (searchers, fleet, flow) = (BTreeMap::new(), Fleet::default(), (0.0, now));
+    pub fn new(now: Time, layout: Layout, cold: ColdRule, (home, price): Site, mixers: usize) -> Self {
+        let (searchers, fleet, flow) = (BTreeMap::new(), Fleet::default(), Rate::new(now));
         let (reaped, lost) = (Share::new(now), Share::new(now));
-        Sender { layout, cold, home, cross_zone_price, searchers, fleet, reaped, lost, flow }
+        Sender { layout, cold, home, price, mixers, searchers, fleet, reaped, lost, flow }
     }
 
     fn news(&mut self, now: Time, list: Vec<Listed>, complete: bool) {
@@ -224,37 +200,18 @@
 
     /// Works out the fleet's figures anew.
     fn survey(&mut self, now: Time) {
-        /// Fewer tell little of a zone.
-        const ENOUGH: usize = 3;
-        let Layout { cells, .. } = self.layout;
-        let (mut all, mut zones) = (Vec::new(), BTreeMap::<_, (Vec<f64>, f64)>::new());
-        let mut can = vec![0.0; cells];
-        self.fleet.warm = 0;
-        for s in self.searchers.values().filter(|s| s.listed.state == SearcherState::Up) {
-            let capacity = s.capacity(now, &self.cold);
-            self.fleet.warm += usize::from(capacity >= 1.0);
-            let good = s.learned(now, Peers { latency: 1.0, path: 0.0, good: 1.0 }).1;
-            self.layout.shards_of(s.listed.cell).for_each(|shard| can[shard] += capacity * good);
-            all.extend(s.latency);
-            if let Some(latency) = s.latency.filter(|_| now.since(s.heard).as_secs() < f64::from(MEMORY)) {
-                let (latencies, good) = zones.entry(s.listed.zone).or_default();
-                latencies.push(latency);
-                *good += s.good;
-            }
-        }
-        for s in self.searchers.values_mut() {
-            // A shard's last sound holder gets all its parts, from all mixers, though few of them are ours:
-            // shards that have others had better leave it alone.
-            s.crowd = self.layout.shards_of(s.listed.cell).map(|shard| 1.0 / can[shard].max(0.01)).sum();
+        const ENOUGH: usize = 3; // Fewer tell little of a zone.
+        let up = || self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
+        self.fleet.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
+        self.fleet.middle = lowest(2, &mut up().filter_map(|s| s.latency).collect::<Vec<_>>());
+        let mut zones = BTreeMap::<_, Vec<f64>>::new();
+        for s in up().filter(|s| now.since(s.heard).as_secs() < f64::from(MEMORY)) {
+            zones.entry(s.listed.zone).or_default().extend(s.latency);
         }
-        self.fleet.middle = lowest(2, &mut all);
-        zones.retain(|_, (latencies, _)| latencies.len() >= ENOUGH);
-        let peers = |(mut heard, good): (Vec<f64>, f64)| {
-            let (latency, path) =
-                (lowest(2, &mut heard).unwrap_or(0.0), lowest(4, &mut heard).unwrap_or(0.0));
-            Peers { latency, path, good: good / heard.len() as f64 }
-        };
-        self.fleet.zones = zones.into_iter().map(|(zone, heard)| (zone, peers(heard))).collect();
+        let known = zones.iter_mut().filter(|(_, heard)| heard.len() >= ENOUGH);
+        let figures = known.filter_map(|(zone, heard)| Some((*zone, (lowest(2, heard)?, lowest(4, heard)?))));
+        self.fleet.zones = figures.collect();
+        self.fleet.quickest = self.fleet.zones.values().map(|zone| zone.1).fold(f64::MAX, f64::min);
     }
 
     /// The middle latency average of those heard from; with none, half the latency budget. The design says
@@ -264,50 +221,39 @@
     }
 
     /// What a searcher not heard from is taken to be like: those of its zone, else of the fleet.
-    fn near(&self, s: &Searcher, budget: Span) -> Peers {
-        let fleet = Peers { latency: self.peers(budget), path: 0.0, good: 1.0 };
-        self.fleet.zones.get(&s.listed.zone).copied().unwrap_or(fleet)
-    }
-
-    /// Parts of usual weight returned of late, of which `more` just now.
-    fn flow(&self, now: Time, more: f64) -> f64 {
-        let (flow, at) = self.flow;
-        flow * (-now.since(at).as_secs() / FLOW_S).exp() + more
+    fn near(&self, s: &Searcher, budget: Span) -> f64 {
+        self.fleet.zones.get(&s.listed.zone).map_or(self.peers(budget), |zone| zone.0)
     }
 
-    /// How long after its last send a cold searcher may get its next, spread evenly. What it can take is
-    /// judged from what this mixer's warm searchers return: all mixers' rates add up to at most what a warm
-    /// one can do, so each may send its own rate times the rule's multiple and the share of capacity that is
-    /// sure. A mixer that has just started knows no rate and waits until it knows one, some seconds: with
-    /// many mixers, even one part each in a window would push a cold searcher over.
-    fn cold_gap(&self, now: Time, capacity: f64) -> Span {
-        let rate = self.flow(now, 0.0) / FLOW_S / self.fleet.warm.max(1) as f64;
-        let allowed = self.cold.fall_multiple * capacity * rate;
-        if capacity < 1.0 { Span::from_secs(1.0 / allowed.max(1e-9)) } else { Span::ZERO }
+    /// How long after its last send a cold searcher may get its next: all mixers' sends must stay under the
+    /// rule's multiple of the capacity that is sure. What one can do when warm is judged from what warm ones
+    /// return here, as all mixers' rates add up to at most that; with no rate known yet, from one part at a
+    /// time. One part each in a window would be too much from many mixers.
+    fn cold_gap(&self, now: Time, searcher: &Searcher, budget: Span) -> Span {
+        let capacity = searcher.capacity(now, &self.cold);
+        let rate = self.flow.per_second(now) / self.fleet.warm.max(1) as f64;
+        let one_at_a_time = 1.0 / (self.peers(budget) * self.mixers as f64).max(1e-6);
+        let allowed = self.cold.fall_multiple * capacity * rate.max(one_at_a_time);
+        if capacity < 1.0 { Span::from_secs(1.0 / allowed) } else { Span::ZERO }
     }
 
-    /// The searchers that hold a shard and are neither draining nor gone.
     fn holders(&self, shard: Shard) -> impl Iterator<Item = (&SearcherId, &Searcher)> {
         let ids = self.fleet.holders.get(shard.0 % self.layout.cells);
         ids.into_iter().flatten().map(|id| (id, &self.searchers[id]))
     }
 
-    /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. It passes over those
-    /// that were sent this part, unless there is no other, and those not expected to answer in the time left
-    /// while another is: own parts out say little of a shared queue, so the score would spread parts to a
-    /// replica known to be too slow.
+    /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. While there is another
+    /// it passes over those sent this part, and those behind a slow path: the score would go on sending parts
+    /// that way, as a second own part here weighs eight times.
     fn pick(&self, now: Time, part: &Part, budget: Span, rng: &mut ChaCha8Rng) -> Pick {
-        /// The design's first setting.
-        const N: i32 = 3;
-        /// A crossing weighs like its price in latency budgets, times this: nearly none among idle replicas,
-        /// yet a sound one elsewhere beats a cold or slow one here.
+        const N: i32 = 3; // The design's first setting.
+        /// Times its price in latency budgets: no crossing among idle ones, yet a sound one beats a slow one.
         const CROSSING: f64 = 20.0;
-        let quickest = self.fleet.zones.values().map(|z| z.path).fold(f64::MAX, f64::min);
         type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
         let mut best: Option<Entry> = None;
         let mut soonest: Option<Span> = None;
         for (id, s) in self.holders(part.shard) {
-            let gap = self.cold_gap(now, s.capacity(now, &self.cold));
+            let gap = self.cold_gap(now, s, budget);
             let waited = s.sent_at.map_or(Span::MAX, |at| now.since(at));
             if waited < gap {
                 soonest = soonest.into_iter().chain([gap.saturating_sub(waited)]).min();
@@ -316,16 +262,18 @@
             let peers = self.near(s, budget);
             let (_, good, queue) = s.learned(now, peers);
             let expected = s.expected(now, peers, self.fleet.work, &self.cold);
-            let queue = (s.out.len() as f64 + queue + 1.0) * s.crowd;
+            let queue = s.out.len() as f64 + queue + 1.0;
             let far = s.listed.zone.is_some() && s.listed.zone != self.home;
-            let crossing = if far { CROSSING * self.cross_zone_price * budget.as_secs() } else { 0.0 };
-            // One that fails fast looks quick and empty: what counts is the time to an answer, and a part
-            // has few sends, so failures weigh twice.
+            let crossing = if far { CROSSING * self.price * budget.as_secs() } else { 0.0 };
+            // One that fails fast looks quick and empty; a part has few sends, so failures weigh twice.
             let failing = good.max(0.05).powi(2);
             let score = queue.powi(N) * (expected + crossing) / failing;
+            // Full queues leave some quick: if even these take three times what they do elsewhere, it is the
+            // way there. Does harm if a whole zone is merely weak.
+            let zone = self.fleet.zones.get(&s.listed.zone);
+            let slow = zone.is_some_and(|zone| zone.1 > 3.0 * self.fleet.quickest);
             let sent = part.sends.iter().any(|send| send.to == *id);
-            // Half as much again as expected must fit, as for a multiget of a few parts at the gate.
-            let passed = 2 * u32::from(sent) + u32::from(peers.path > 3.0 * quickest);
+            let passed = 2 * u32::from(sent) + u32::from(slow);
             let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
@@ -334,8 +282,7 @@
     }
 }
 
-/// How often further sends are made: it follows how many of the recent ones succeeded, and stays within
-/// the stated budget where there is one.
+/// How often further sends are made: as often as recent ones succeeded, within a budget where one is stated.
 pub struct Further {
     limits: PartLimits,
     budget: Option<SendBudget>,
@@ -355,8 +302,8 @@
 
     /// A multiget with so many parts was taken.
     fn took(&mut self, now: Time, parts: usize) {
-        // Even when none helps, a few are made, to learn when they help again. Some are saved, so that a
-        // burst of failures, such as one searcher's death, is met at once.
+        // Even when none helps, a few are made, to learn when they help again. Some are saved, so that one
+        // searcher's death is met at once.
         const LEAST: f64 = 0.03;
         const MOST_SAVED: f64 = 20.0;
         self.tokens = (self.tokens + parts as f64 * (LEAST + self.helped)).min(MOST_SAVED);
@@ -365,14 +312,11 @@
     }
 
     fn allowed(&mut self, now: Time) -> bool {
-        if let Some(SendBudget { free, share, window }) = self.budget {
-            // At the very edge of the window, sends made count and requests taken do not.
-            self.made.retain(|&at| now.since(at) <= window);
-            self.taken.retain(|&at| now.since(at) < window);
-            let room = free + share * self.taken.len() as f64;
-            return self.tokens >= 1.0 && self.made.len() as f64 + 1.0 <= room;
-        }
-        self.tokens >= 1.0
+        let Some(SendBudget { free, share, window }) = self.budget else { return self.tokens >= 1.0 };
+        // At the very edge of the window, sends made count and requests taken do not.
+        self.made.retain(|&at| now.since(at) <= window);
+        self.taken.retain(|&at| now.since(at) < window);
+        self.tokens >= 1.0 && self.made.len() as f64 + 1.0 <= free + share * self.taken.len() as f64
     }
 
     fn made(&mut self, now: Time) {
@@ -406,59 +350,48 @@
 
 /// What multigets are worth against each other, and which tenants exceed their share.
 pub struct Gate {
-    /// For each tenant: its share a second here, its room within it, and as of when.
+    /// For each tenant: its share a second at all mixers, its room within it here, and as of when.
     quotas: Vec<(f64, f64, Time)>,
     over_share: f64,
     /// Importance is counted by unit of work, not by multiget.
     by_work: bool,
     /// The longest time to come back that clients keep to, if they are told one.
-    longest_come_back: Option<Span>,
-    /// Importance asked for by unit of work, on average.
-    density: f64,
-    /// Multigets let in that missed their latency budget. It halves in a few seconds, so that a gate that
-    /// lets nobody in opens again.
+    come_back: Option<Span>,
+    /// Importance asked for by unit of work, over the last fifty multigets.
+    density: Mean<50>,
+    /// Multigets let in that missed their latency budget; halves soon, so that a shut gate opens again.
     missed: Share<30, 3, 3>,
 }
 
+/// A tenant's least room in multigets: the first is not over a share that is under one a second here.
+const LEAST_ROOM: f64 = 2.0;
+
 impl Gate {
     pub fn new(
         now: Time,
         tenants: &[Tenant],
         over_share: f64,
-        mixers: usize,
         by_work: bool,
-        longest_come_back: Option<Span>,
+        come_back: Option<Span>,
     ) -> Self {
-        let shares = tenants.iter().map(|t| t.quota_per_s / mixers.max(1) as f64);
-        let quotas = shares.map(|share| (share, share, now)).collect();
-        Gate { quotas, over_share, by_work, longest_come_back, density: 0.0, missed: Share::new(now) }
+        let quotas = tenants.iter().map(|t| (t.quota_per_s, LEAST_ROOM, now)).collect();
+        Gate { quotas, over_share, by_work, come_back, density: Mean::default(), missed: Share::new(now) }
     }
 
-    fn took(&mut self, now: Time, mg: &Multiget, worth: f64) {
-        // Moves over some fifty multigets.
-        let by = if self.density > 0.0 { 0.02 } else { 1.0 };
-        blend(&mut self.density, worth, by);
+    fn took(&mut self, now: Time, mg: &Multiget, worth: f64, mixers: usize) {
+        self.density.feed(worth);
         if let Some((share, room, at)) = mg.tenant.and_then(|t| self.quotas.get_mut(t.0)) {
-            let gained = now.since(*at).as_secs() * *share;
-            // Some seconds of a share may come at once; where a share is under one a second, as among many
-            // mixers, the first multiget must not be over it.
-            let most = (*share * 5.0).max(2.0);
+            // Some seconds of a share may come at once.
+            let share = *share / mixers.max(1) as f64;
+            let (gained, most) = (now.since(*at).as_secs() * share, (share * 5.0).max(LEAST_ROOM));
             (*room, *at) = (((*room + gained).min(most) - 1.0).max(-most), now);
         }
     }
 
-    /// Importance by unit of work; what exceeds its tenant's share is worth little.
-    fn worth(&self, mg: &Multiget, importance: f64, work: f64) -> f64 {
-        let quota = mg.tenant.and_then(|t| self.quotas.get(t.0));
-        let share = if quota.is_some_and(|(_, room, _)| *room < 0.0) { self.over_share } else { 1.0 };
-        importance * share / if self.by_work { 1.0 } else { work.max(0.1) }
-    }
-
     /// The part of the time left that it may plan to use: less where it is worth less than most.
     fn room(&self, worth: f64) -> f64 {
-        /// The least worth still gets half: the gate sorts, it does not starve.
-        const LEAST: f64 = 0.5;
-        (worth / self.density.max(1e-9)).sqrt().clamp(LEAST, 1.0)
+        const LEAST: f64 = 0.5; // The gate sorts, it does not starve.
+        (worth / self.density.value.max(1e-9)).sqrt().clamp(LEAST, 1.0)
     }
 }
 
@@ -552,7 +485,7 @@
             let fate = if unused { &mut self.sender.reaped } else { &mut self.sender.lost };
             fate.note(now, outcome.came_to_nothing());
             if outcome == Outcome::Returned {
-                self.sender.flow = (self.sender.flow(now, self.weight(op, p)), now);
+                self.sender.flow.add(now, self.weight(op, p));
                 self.learn(op, p, elapsed, sample);
             }
         }
@@ -569,10 +502,6 @@
         &self.kinds[mg.op_type.0].op
     }
 
-    fn peers(&self, op: OpTypeId) -> f64 {
-        self.sender.peers(self.kinds[op.0].op.latency_budget)
-    }
-
     /// A part's expected work against that of a usual part.
     fn weight(&self, op: OpTypeId, part: &Part) -> f64 {
         let (latency, hint) = &self.kinds[op.0].usual[usize::from(part.second_step)];
@@ -592,23 +521,19 @@
         latency.feed(elapsed.as_secs());
         hint.feed(part.hint.map_or(0.0, Span::as_secs));
         self.all.feed(elapsed.as_secs());
-        if let Some(mean) = self.mean.known() {
-            self.deviation.feed((sample - mean).abs());
-            // Falls tenfold as readily as it rises, so it settles near the low end.
-            let by = if sample < self.sender.fleet.work { 0.1 } else { 0.01 };
-            blend(&mut self.sender.fleet.work, sample, by);
-        } else {
-            self.sender.fleet.work = sample;
-        }
+        // Falls tenfold as readily as it rises, so it settles near the low end.
+        let fleet = &mut self.sender.fleet;
+        let by = if sample < fleet.work { 0.1 } else { 0.01 };
+        blend(&mut fleet.work, sample, if self.mean.count > 0.0 { by } else { 1.0 });
+        self.deviation.feed((sample - self.mean.known().unwrap_or(sample)).abs());
         self.mean.feed(sample);
     }
 
     /// Notes a multiget that has just been taken.
     fn take(&mut self, now: Time, mg: &Multiget) {
-        /// Votes kept at most, so that a change of habit shows within as many multigets.
-        const VOTES: i32 = 20;
+        const VOTES: i32 = 20; // At most: a change of habit shows within as many multigets.
         self.further.took(now, mg.parts.len());
-        self.gate.took(now, mg, self.worth(mg));
+        self.gate.took(now, mg, self.worth(mg), self.sender.mixers);
         let (usual, votes) = self.kinds[mg.op_type.0].first_try;
         self.kinds[mg.op_type.0].first_try = match self.like_first(mg) {
             true => (usual, (votes + 1).min(VOTES)),
@@ -617,9 +542,12 @@
         };
     }
 
+    /// Importance by unit of work; what exceeds its tenant's share is worth little.
     fn worth(&self, mg: &Multiget) -> f64 {
-        let work = mg.parts.iter().map(|p| self.weight(mg.op_type, p)).sum();
-        self.gate.worth(mg, self.op(mg).importance, work)
+        let quota = mg.tenant.and_then(|t| self.gate.quotas.get(t.0));
+        let share = if quota.is_some_and(|(_, room, _)| *room < 0.0) { self.gate.over_share } else { 1.0 };
+        let work: f64 = mg.parts.iter().map(|p| self.weight(mg.op_type, p)).sum();
+        self.op(mg).importance * share / if self.gate.by_work { 1.0 } else { work.max(0.1) }
     }
 
     /// Time for the reply to reach the client: what comes in is handled once a tick, and a hop follows.
@@ -634,8 +562,8 @@
         given.saturating_sub(usual).max(usual.saturating_sub(given)) < Span::from_millis(20)
     }
 
-    /// When the client sees its latency budget pass. A later try that is given other than the usual time is
-    /// given what the client has left of the route timeout, which tells how long ago its first began.
+    /// When the client sees its latency budget pass. A later try given other than the usual time is given
+    /// what is left of the route timeout, which tells how long ago its first began.
     fn budget_end(&self, mg: &Multiget) -> Time {
         let op = self.op(mg);
         let stretch = mg.hint.map_or(Span::ZERO, |h| h.times(op.budget_stretch));
@@ -657,12 +585,12 @@
         if op.second_step == 0 || mg.first_answer.is_some() {
             return end;
         }
-        /// The slowest of a few parts takes about this many times the mean.
+        // The slowest of a few parts takes about this many times the mean. Second steps that come in are the
+        // quick ones; where queues are long, the rest wait like any part.
         const SLOWEST_OF_FEW: f64 = 2.5;
-        let takes = self.kinds[mg.op_type.0].usual[1].0.known().unwrap_or(op.latency_budget.as_secs() / 8.0);
-        // Those that come in are the quick ones; where queues are long, the rest wait like any part.
-        let takes = takes.max(self.mean.value);
-        end - Span::from_secs(takes * SLOWEST_OF_FEW).min(op.latency_budget.times(0.5))
+        let usual = self.kinds[mg.op_type.0].usual[1].0.known().unwrap_or(op.latency_budget.as_secs() / 8.0);
+        let takes = Span::from_secs(usual.max(self.mean.value) * SLOWEST_OF_FEW);
+        end - takes.min(op.latency_budget.times(0.5))
     }
 
     /// The final answer, if it is time for one.
@@ -670,17 +598,15 @@
         const SHORT: f64 = 1e-6; // Sums of weights may come up a little short.
         let (op, first) = (self.op(mg), mg.first_answer);
         let over = now >= self.useful_end(mg);
-        let (mut have, mut may, mut missing, mut parts) = (0.0, 0.0, 0, 0);
+        let (mut have, mut may, mut missing) = (0.0, 0.0, 0);
         for (_, p) in mg.step() {
-            parts += 1;
             have += if p.returned { p.weight } else { 0.0 };
             missing += usize::from(!p.returned);
             may += if p.returned || self.may_return(now, mg, p) { p.weight } else { 0.0 };
         }
-        if parts == 0 {
-            return over.then(|| self.give_up(mg));
-        }
-        if missing == 0 || (first.is_none() && have + SHORT >= op.need) {
+        // The parts of a second step come a little later.
+        let none = missing == 0 && have == 0.0;
+        if !none && (missing == 0 || (first.is_none() && have + SHORT >= op.need)) {
             return Some(Reply::Answered { whole: first.unwrap_or(true) });
         }
         let partial = op.least_share < op.need;
@@ -688,7 +614,7 @@
         if partial && have > 0.0 && have + SHORT >= least && (now >= self.cut(mg) || may <= have) {
             return Some(Reply::Answered { whole: false });
         }
-        (over || may + SHORT < least).then(|| self.give_up(mg))
+        (over || (!none && may + SHORT < least)).then(|| self.give_up(mg))
     }
 
     /// Pushes back where a new try is surely harmless, with a time to come back; else it fails.
@@ -698,12 +624,11 @@
             return Reply::Failed;
         }
         // By then about two more rounds of work have been done.
-        let rounds = Span::from_secs(self.peers(mg.op_type) * 2.0);
-        Reply::PushedBack { come_back_in: self.gate.longest_come_back.map(|longest| rounds.min(longest)) }
+        let rounds = Span::from_secs(self.sender.peers(self.op(mg).latency_budget) * 2.0);
+        Reply::PushedBack { come_back_in: self.gate.come_back.map(|longest| rounds.min(longest)) }
     }
 
     /// Whether an answer of this part may still come: a send is out, or one more may go to a holder in time.
-    /// Guards against work for a multiget that lacks all holders of a shard: it is given up at once.
     fn may_return(&self, now: Time, mg: &Multiget, part: &Part) -> bool {
         let out = part.sends.iter().any(|s| s.outcome.is_none());
         let holders = || self.sender.holders(part.shard).next().is_some();
@@ -712,7 +637,7 @@
 
     /// Whether a send now has some chance to be back before the answer is worth nothing.
     fn in_time(&self, now: Time, mg: &Multiget, part: &Part) -> bool {
-        let least = self.peers(mg.op_type) * 0.5 + self.extra(mg.op_type, part);
+        let least = self.sender.peers(self.op(mg).latency_budget) * 0.5 + self.extra(mg.op_type, part);
         self.useful_end(mg).since(now) >= Span::from_secs(least)
     }
 
@@ -729,13 +654,11 @@
         }
     }
 
-    /// Under overload, what cannot be answered in time is pushed back before work is wasted on it, the
-    /// least worth for its work first. A multiget takes as long as the slowest part that it needs; a
-    /// replica with nothing of ours out is worth a try, so that a stale average is found out, unless many
-    /// that were let in missed their latency budget: then averages are right, and tries only add to the load.
+    /// Under overload, what cannot be answered in time is pushed back before work is wasted on it, the least
+    /// worth for its work first. A replica with nothing of ours out is worth a try, to find stale averages
+    /// out, unless many that were let in missed their latency budget: then averages are right.
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
-        // The slowest of four parts takes half as much again as one is expected to, and the slowest of many
-        // grows with the logarithm of their number.
+        // The slowest of four takes half as much again as one; it grows with the logarithm of their number.
         let slowest = 1.0 + 0.36 * (mg.step().count().max(1) as f64).ln();
         // With a third of those let in missing their budget, an idle replica counts like any other.
         let pass = (self.gate.missed.value(now) * 3.0).min(1.0);
@@ -752,23 +675,24 @@
         in_time < self.op(mg).least_share.min(self.op(mg).need)
     }
 
-    /// How late a part of usual weight is when it is worth another send. A copy of one that is merely late
-    /// costs more than it brings, so far out, unless its searcher has been silent since it was sent.
+    /// How late a part of usual weight is when it is worth another send. A copy of a merely late one costs
+    /// more than it brings, so far out, less so if its searcher has been silent since.
     fn patience(&self, peers: f64, last: Option<&Send>) -> f64 {
         let heard = last.and_then(|s| self.sender.searchers.get(&s.to).map(|to| to.heard > s.at));
         // Farther where the first send must be given up for the second.
         let far = if self.further.limits.second_copies { 10.0 } else { 15.0 };
-        let deviations = if heard == Some(true) { far } else { far * 2.0 / 3.0 };
-        if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + deviations * self.deviation.value }
+        let far = far * self.deviation.value * if heard == Some(true) { 1.0 } else { 2.0 / 3.0 };
+        if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + far }
     }
 
     fn send_parts(&mut self, now: Time, mg: &Multiget) -> Advice {
         let mut advice = Advice::default();
-        let (op, peers, budget) = (mg.op_type, self.peers(mg.op_type), self.op(mg).latency_budget);
+        let (op, budget) = (mg.op_type, self.op(mg).latency_budget);
+        let peers = self.sender.peers(budget);
         let PartLimits { second_copies, may_withdraw, .. } = self.further.limits;
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
-        // Guards against boxes between that drop connections unused for a while: sends on these come to
-        // nothing far more often than others, so it is not the searchers. Costs handshakes if it errs.
+        // Guards against boxes between that drop unused connections: sends on these come to nothing far more
+        // often than others, so it is not the searchers. Costs handshakes if it errs.
         let reaping = self.sender.reaped.value(now) > (2.0 * self.sender.lost.value(now)).max(0.2);
         let mut wake = if now < cut { cut } else { end };
         for (place, p) in mg.step().filter(|(_, p)| !p.returned && !p.closed) {
@@ -784,9 +708,8 @@
                 continue;
             }
             let further = !p.sends.is_empty();
-            let held_back = further && !self.further.allowed(now);
             let pick = self.sender.pick(now, p, budget, &mut self.rng);
-            let Some((to, _)) = pick.as_ref().ok().filter(|_| !held_back) else {
+            let Some((to, _)) = pick.as_ref().ok().filter(|_| !further || self.further.allowed(now)) else {
                 let again = pick.err().flatten().unwrap_or(Span::from_secs(peers * 0.5));
                 wake = wake.min(now + again.max(self.tick));
                 continue;
--- a/crates/lockusher/tests/host/mod.rs
+++ b/crates/lockusher/tests/host/mod.rs
@@ -109,9 +109,9 @@
             ms(5),
             vec![op_type],
             (
-                Sender::new(now, Layout { cells: 3, in_a_row: 3 }, cold, None, 0.0),
+                Sender::new(now, Layout { cells: 3, in_a_row: 3 }, cold, (None, 0.0), 1),
                 Further::new(limits, site.budget),
-                Gate::new(now, &[], 1.0, 1, site.by_work, site.come_back),
+                Gate::new(now, &[], 1.0, site.by_work, site.come_back),
                 Asking::new(now, site.ask_every),
             ),
         );
