--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -693,7 +693,7 @@
         let (cut, end) = (self.cut(mg), self.useful_end(mg));
         // Guards against boxes between that drop unused connections: sends on these come to nothing far more
         // often than others, so it is not the searchers. Costs handshakes if it errs.
-        let reaping = self.sender.reaped.value(now) > (2.0 * self.sender.lost.value(now)).max(0.3);
+        let reaping = self.sender.reaped.value(now) > (2.0 * self.sender.lost.value(now)).max(0.2);
         let mut wake = if now < cut { cut } else { end };
         for (place, p) in mg.step().filter(|(_, p)| !p.returned && !p.closed) {
             let extra = self.extra(op, p);
