--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -37,7 +37,7 @@
 const NEWEST: f64 = 1.0 / 3.0;
 
 /// Sends that came to nothing: a few prove little, the last thirty do; known for as long as a searcher.
-type Lost = Share<30, 3, MEMORY>;
+type Lost = Share<15, 1, MEMORY>;
 
 /// What was learned of a searcher is half forgotten in so many seconds: a trial now and then while a usual
 /// trouble lasts; a few seconds were too eager.
