--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -84,8 +84,10 @@
         let returned = outcome == Outcome::Returned;
         let fed = if returned { sample } else { sample.max(peers).max(self.latency.unwrap_or(0.0)) };
         let learned = self.learned(now, peers);
-        // A queue is another one after some seconds: the longer ago the last sample, the more this weighs.
-        let newest = 1.0 - (1.0 - NEWEST).powf(1.0 + now.since(self.heard).as_secs());
+        // A queue is another one after some seconds: the longer ago the last sample, the more this weighs. A
+        // time-out tells less of it: where many are lost, averages would be made of them and shut the gate.
+        let gone = if returned { now.since(self.heard).as_secs() } else { 0.0 };
+        let newest = 1.0 - (1.0 - NEWEST).powf(1.0 + gone);
         self.latency = Some(self.latency.map_or(fed, |_| learned.0 + (fed - learned.0) * newest));
         self.good = learned.1;
         // What is lost on an unused connection says nothing of the searcher: some box between drops them.
