--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -700,10 +700,8 @@
             let last = p.sends.last().filter(|s| s.outcome.is_none());
             let late = Span::from_secs(self.patience(peers, last) + extra).max(self.tick);
             let out: Vec<usize> = (0..p.sends.len()).filter(|&i| p.sends[i].outcome.is_none()).collect();
-            let early = if second_copies { Span::from_secs(peers * 4.0 + extra).min(late) } else { late };
-            let age = out.last().map_or(Span::MAX, |&last| now.since(p.sends[last].at));
-            if age < early {
-                wake = wake.min(now + early.saturating_sub(age));
+            if let Some(due) = out.last().map(|&last| p.sends[last].at + late).filter(|&due| due > now) {
+                wake = wake.min(due);
                 continue;
             }
             if !self.may_send(now, mg, p) || !self.in_time(now, mg, p) {
@@ -711,11 +709,6 @@
             }
             let further = !p.sends.is_empty();
             let pick = self.sender.pick(now, p, budget, &mut self.rng);
-            // Not yet late, but another is expected to take a third of what this one has been out already.
-            if age < late && pick.as_ref().is_ok_and(|(_, expected)| expected * 3.0 > age.as_secs()) {
-                wake = wake.min(now + late.saturating_sub(age));
-                continue;
-            }
             let Some((to, _)) = pick.as_ref().ok().filter(|_| !further || self.further.allowed(now)) else {
                 let again = pick.err().flatten().unwrap_or(Span::from_secs(peers * 0.5));
                 wake = wake.min(now + again.max(self.tick));
