--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -246,7 +246,7 @@
     /// it passes over those sent this part, and those behind a slow path: the score would go on sending parts
     /// that way, as a second own part here weighs eight times.
     fn pick(&self, now: Time, part: &Part, budget: Span, rng: &mut ChaCha8Rng) -> Pick {
-        const N: i32 = 2; // The design's first setting.
+        const N: i32 = 2; // First set to 3; among many mixers own parts out say less of a shared queue.
         /// Times its price in latency budgets: no crossing among idle ones, yet a sound one beats a slow one.
         const CROSSING: f64 = 20.0;
         type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
@@ -302,11 +302,11 @@
 
     /// A multiget with so many parts was taken.
     fn took(&mut self, now: Time, parts: usize) {
-        // Even when none helps, a few are made, to learn when they help again. Some are saved, so that one
-        // searcher's death is met at once.
+        // Even when none helps, a few are made, to learn when they help again. Some are saved, half the parts
+        // of the largest multigets at least, so that some searchers' death is met at once.
         const LEAST: f64 = 0.03;
-        const MOST_SAVED: f64 = 20.0;
-        self.tokens = (self.tokens + parts as f64 * (LEAST + self.helped)).min(MOST_SAVED);
+        let most = (parts as f64 / 2.0).max(20.0);
+        self.tokens = (self.tokens + parts as f64 * (LEAST + self.helped)).min(most);
         let counted = if self.budget.is_some() { parts + 1 } else { 0 };
         self.taken.extend(std::iter::repeat_n(now, counted));
     }
