--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -721,9 +721,10 @@
                 if before.is_some() || !second_copies {
                     continue;
                 }
-            } else if let Some(failed) = before {
-                // Its only replicas have failed it: not again before they have had some time.
-                let again = failed.at + Span::from_secs(peers * p.sends.len() as f64);
+            } else if let Some(failed) = before.or(p.sends.last()) {
+                // One failure is met at once; after more, or at the same replica, they are given some time.
+                let failures = p.sends.len() - usize::from(before.is_none());
+                let again = failed.at + Span::from_secs(peers * failures as f64);
                 if again > now {
                     wake = wake.min(again.max(now + self.tick));
                     continue;
