--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -680,7 +680,7 @@
     fn patience(&self, peers: f64, last: Option<&Send>) -> f64 {
         let heard = last.and_then(|s| self.sender.searchers.get(&s.to).map(|to| to.heard > s.at));
         // Farther where the first send must be given up for the second.
-        let far = if self.further.limits.second_copies { 10.0 } else { 15.0 };
+        let far = if self.further.limits.second_copies { 7.0 } else { 15.0 };
         let far = far * self.deviation.value * if heard == Some(true) { 1.0 } else { 2.0 / 3.0 };
         if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + far }
     }
@@ -721,10 +721,9 @@
                 if before.is_some() || !second_copies {
                     continue;
                 }
-            } else if let Some(failed) = before.or(p.sends.last()) {
-                // One failure is met at once; after more, or at the same replica, they are given some time.
-                let failures = p.sends.len() - usize::from(before.is_none());
-                let again = failed.at + Span::from_secs(peers * failures as f64);
+            } else if let Some(failed) = before {
+                // Its only replicas have failed it: not again before they have had some time.
+                let again = failed.at + Span::from_secs(peers * p.sends.len() as f64);
                 if again > now {
                     wake = wake.min(again.max(now + self.tick));
                     continue;
