--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -204,6 +204,7 @@
         let up = || self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
         self.fleet.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
         self.fleet.middle = lowest(2, &mut up().filter_map(|s| s.latency).collect::<Vec<_>>());
+        self.fleet.work = self.fleet.work.min(self.fleet.middle.unwrap_or(f64::MAX));
         let mut zones = BTreeMap::<_, Vec<f64>>::new();
         for s in up().filter(|s| now.since(s.heard).as_secs() < f64::from(MEMORY)) {
             zones.entry(s.listed.zone).or_default().extend(s.latency);
@@ -680,7 +681,7 @@
     fn patience(&self, peers: f64, last: Option<&Send>) -> f64 {
         let heard = last.and_then(|s| self.sender.searchers.get(&s.to).map(|to| to.heard > s.at));
         // Farther where the first send must be given up for the second.
-        let far = if self.further.limits.second_copies { 7.0 } else { 15.0 };
+        let far = if self.further.limits.second_copies { 10.0 } else { 15.0 };
         let far = far * self.deviation.value * if heard == Some(true) { 1.0 } else { 2.0 / 3.0 };
         if self.mean.count < 10.0 { peers * 3.0 } else { self.mean.value + far }
     }
