--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -204,7 +204,6 @@
         let up = || self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
         self.fleet.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
         self.fleet.middle = lowest(2, &mut up().filter_map(|s| s.latency).collect::<Vec<_>>());
-        self.fleet.work = self.fleet.work.min(self.fleet.middle.unwrap_or(f64::MAX));
         let mut zones = BTreeMap::<_, Vec<f64>>::new();
         for s in up().filter(|s| now.since(s.heard).as_secs() < f64::from(MEMORY)) {
             zones.entry(s.listed.zone).or_default().extend(s.latency);
