--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -246,7 +246,7 @@
     /// it passes over those sent this part, and those behind a slow path: the score would go on sending parts
     /// that way, as a second own part here weighs eight times.
     fn pick(&self, now: Time, part: &Part, budget: Span, rng: &mut ChaCha8Rng) -> Pick {
-        const N: f64 = 2.5; // First set to 3; among many mixers own parts out say less of a shared queue.
+        const N: i32 = 3; // The design's first setting; with 2 the holder with fewer own parts is chosen too rarely.
         /// Times its price in latency budgets: no crossing among idle ones, yet a sound one beats a slow one.
         const CROSSING: f64 = 20.0;
         type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
@@ -267,7 +267,7 @@
             let crossing = if far { CROSSING * self.price * budget.as_secs() } else { 0.0 };
             // One that fails fast looks quick and empty; a part has few sends, so failures weigh twice.
             let failing = good.max(0.05).powi(2);
-            let score = queue.powf(N) * (expected + crossing) / failing;
+            let score = queue.powi(N) * (expected + crossing) / failing;
             // Full queues leave some quick: if even these take three times what they do elsewhere, it is the
             // way there. Does harm if a whole zone is merely weak.
             let zone = self.fleet.zones.get(&s.listed.zone);
