--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -246,7 +246,7 @@
     /// it passes over those sent this part, and those behind a slow path: the score would go on sending parts
     /// that way, as a second own part here weighs eight times.
     fn pick(&self, now: Time, part: &Part, budget: Span, rng: &mut ChaCha8Rng) -> Pick {
-        const N: i32 = 3; // The design's first setting; with 2 the holder with fewer own parts is chosen too rarely.
+        const N: i32 = 3; // The design's first setting; with 2, own parts out hardly decide.
         /// Times its price in latency budgets: no crossing among idle ones, yet a sound one beats a slow one.
         const CROSSING: f64 = 20.0;
         type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
