--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -90,7 +90,9 @@
         self.good = learned.1;
         // What is lost on an unused connection says nothing of the searcher: some box between drops them.
         if outcome != Outcome::Withdrawn && !(unused && outcome.came_to_nothing()) {
-            blend(&mut self.good, f64::from(returned), NEWEST);
+            // A refused connection nearly proves that it is down; an error or a lost part does not.
+            let weight = if outcome == Outcome::NoConnection { 0.9 } else { NEWEST };
+            blend(&mut self.good, f64::from(returned), weight);
         }
         self.heard = now;
         // Guards against a process that came back cold before any list said so: silence or a broken
@@ -134,7 +136,6 @@
     layout: Layout,
     cold: ColdRule,
     home: Option<Zone>,
-    /// The price of a crossing.
     price: f64,
     mixers: usize,
     searchers: BTreeMap<SearcherId, Searcher>,
@@ -604,8 +605,7 @@
             missing += usize::from(!p.returned);
             may += if p.returned || self.may_return(now, mg, p) { p.weight } else { 0.0 };
         }
-        // The parts of a second step come a little later.
-        let none = missing == 0 && have == 0.0;
+        let none = missing == 0 && have == 0.0; // The parts of a second step come a little later.
         if !none && (missing == 0 || (first.is_none() && have + SHORT >= op.need)) {
             return Some(Reply::Answered { whole: first.unwrap_or(true) });
         }
--- a/crates/lockusher/tests/stories.rs
+++ b/crates/lockusher/tests/stories.rs
@@ -39,6 +39,21 @@
     assert_eq!(host.unanswered(), 0);
 }
 
+#[rstest]
+#[case::refused(Outcome::NoConnection, 0)]
+#[case::an_error(Outcome::Error, 1)]
+fn a_refused_connection_tells_more_than_an_error(#[case] outcome: Outcome, #[case] tried: usize) {
+    let mut host = Host::new(Site::default());
+    host.serve(12, &[0]);
+    host.fails("a", outcome);
+    while host.further() == 0 {
+        host.serve(1, &[0]);
+    }
+    host.forget_counts();
+    let asked = (0..6).map(|i| host.ask(&format!("at once {i}"), &[0])).count();
+    assert_eq!((asked, host.count("a").min(1)), (6, tried));
+}
+
 #[test]
 fn a_replica_that_swallows_parts_is_left_alone_while_they_age() {
     let mut host = Host::new(Site::default());
