--- /dev/null
+++ b/crates/lockusher-drill/tests/wire.rs
@@ -0,0 +1,110 @@
+//! The adapter as the simulator meets it: lines in, lines out.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+use rstest::rstest;
+use serde_json::{Value, json};
+
+fn play(lines: &[String]) -> Output {
+    let mut drill = Command::new(env!("CARGO_BIN_EXE_lockusher-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut input = drill.stdin.take().expect("a pipe");
+    // A drill that ends early closes its side: what it said counts.
+    let _ = input.write_all((lines.join("\n") + "\n").as_bytes());
+    drop(input);
+    drill.wait_with_output().expect("the binary ends")
+}
+
+fn batch(at: u64, items: Vec<Value>) -> String {
+    json!({ "sim_time_us": at, "items": items }).to_string()
+}
+
+fn start(cells: usize, in_a_row: usize) -> Value {
+    let facts = json!({
+        "balancers": 40, "tick_us": 5000, "localities": ["here"], "locality": "here",
+        "membership_mode": "pushed", "prices": {},
+        "grades": [{
+            "name": "wide", "promise_us": 1500000, "deadline_us": 4000000, "effect": "safe", "worth": 1.0,
+        }],
+        "extra": { "cells": cells, "in_a_row": in_a_row, "least_share": [1.0], "need_by_class": [1.0] },
+        "limits": { "max_attempts": 4, "parallel_tries": true, "may_cancel": true },
+        "rules": { "cold_from": 0.2, "ramp_time_us": 9000000, "fall_multiple": 3.0, "tip_after_us": 1000000 },
+    });
+    json!({ "event_type": "SPAWN", "mixer": "mixer-1", "random_seed": 7, "facts": facts })
+}
+
+fn list(set_id: u64, count: usize, state: impl Fn(usize) -> &'static str) -> Value {
+    let entry = |i| {
+        let searcher = format!("s{i}:1");
+        json!({ "rack_zone": "here", "stage_state": state(i), "set_no": i, "searcher": searcher })
+    };
+    let entries: Vec<Value> = (0..count).map(entry).collect();
+    json!({ "event_type": "CATALOG", "set_id": set_id, "members_list": entries })
+}
+
+fn told(mode: &str, set_id: u64) -> Value {
+    json!({ "event_type": "UPDATE", "mixer": "mixer-1", "stamp": 1, "mode": mode, "set_id": set_id })
+}
+
+/// A multiget and its parts.
+fn multiget(kind: &str, parts: usize) -> Vec<Value> {
+    let knock = |corr: String, slab: i64, amount: f64| {
+        json!({
+            "event_type": "KNOCK", "mixer": "mixer-1", "corr": corr, "kind": kind, "whole_no": 1,
+            "slab": slab, "time_left_us": 4000000, "amount": amount,
+        })
+    };
+    let part = |i: usize| knock(format!("part-{i}"), i as i64, 1.0 / parts as f64);
+    std::iter::once(knock("whole".into(), -1, parts as f64)).chain((0..parts).map(part)).collect()
+}
+
+#[rstest]
+#[case::two_hundred_parts_of_a_large_fleet(300, 4, 200)]
+#[case::fewer_cells_than_a_shard_has_holders(2, 3, 5)]
+#[case::one_searcher_for_all(1, 1, 3)]
+fn each_part_goes_to_a_holder_that_stays(
+    #[case] cells: usize,
+    #[case] in_a_row: usize,
+    #[case] parts: usize,
+) {
+    // Every fourth drains, all in one batch of changes; where there are fewer, all stay.
+    let drains = |i: usize| i % 4 == 3;
+    let out = play(&[
+        batch(1_000_000, vec![start(cells, in_a_row), list(0, cells, |_| "U"), told("remembered", 0)]),
+        batch(1_005_000, vec![list(1, cells, |i| if drains(i) { "L" } else { "U" }), told("changes", 1)]),
+        batch(1_010_000, multiget("wide", parts)),
+    ]);
+    let text = String::from_utf8(out.stdout).expect("text");
+    let last: Value = serde_json::from_str(text.lines().last().expect("a reply")).expect("a reply");
+    let relays: Vec<&Value> =
+        last["cmds"].as_array().expect("actions").iter().filter(|c| c["event_type"] == "RELAY").collect();
+    assert!(out.status.success());
+    assert_eq!(relays.len(), parts);
+    for relay in relays {
+        let number = |of: &Value, start: &str| -> usize {
+            let name = of.as_str().and_then(|name| name.strip_prefix(start)).expect("a name");
+            name.trim_end_matches(":1").parse().expect("a number")
+        };
+        let (shard, searcher) = (number(&relay["corr"], "part-"), number(&relay["searcher"], "s"));
+        assert!((searcher + cells - shard % cells) % cells < in_a_row && !drains(searcher), "{relay}");
+    }
+}
+
+#[rstest]
+#[case::no_batch("not a batch".into(), "not a batch")]
+#[case::not_started(batch(1, multiget("wide", 1)), "mixer-1 has not been started")]
+#[case::no_such_list(batch(1, vec![start(3, 3), told("all", 9)]), "list 9")]
+#[case::no_such_op_type(batch(1, [vec![start(3, 3)], multiget("odd", 1)].concat()), "no class is named odd")]
+#[case::no_cells(batch(1, vec![start(0, 3)]), "cells is 0")]
+fn what_is_malformed_gets_one_plain_message(#[case] line: String, #[case] says: &str) {
+    let out = play(&[line]);
+    let said = String::from_utf8(out.stderr).expect("text");
+    assert!(!out.status.success());
+    assert_eq!(said.lines().count(), 1, "{said}");
+    assert!(said.contains(says), "{said}");
+}
