--- a/crates/lockusher-host/src/settings.rs
+++ b/crates/lockusher-host/src/settings.rs
@@ -11,8 +11,8 @@
 pub struct Settings {
     pub balancers: usize,
     grades: Vec<Grade>,
-    extra: Extra,
-    limits: Limits,
+    pub extra: Extra,
+    pub limits: Limits,
     localities: Vec<String>,
     locality: String,
     pub membership_mode: Membership,
@@ -58,7 +58,9 @@
 }
 
 #[derive(Deserialize)]
-struct Extra {
+pub struct Extra {
+    /// Parts that one call to a searcher may hold.
+    pub bundle_max: Option<usize>,
     cells: usize,
     in_a_row: usize,
     #[serde(default)]
@@ -67,15 +69,24 @@
     fetch_parts: Vec<usize>,
     least_share: Vec<f64>,
     need_by_class: Vec<f64>,
+    /// How many shards there are.
+    pub slices: Option<usize>,
 }
 
 #[derive(Deserialize)]
-struct Limits {
+pub struct Limits {
+    /// A searcher closes a connection unused for so long.
+    pub conn_idle_us: Option<u64>,
+    pub connect_timeout_us: Option<u64>,
     max_attempts: usize,
+    /// Multigets and parts that one mixer may hold.
+    pub max_open: Option<usize>,
+    /// Calls that one connection carries at once.
+    pub max_streams: Option<usize>,
     #[serde(default)]
     max_retry_after_us: u64,
     #[serde(default)]
-    may_cancel: bool,
+    pub may_cancel: bool,
     #[serde(default)]
     parallel_tries: bool,
     #[serde(default)]
--- /dev/null
+++ b/crates/lockusher-mixer/src/config.rs
@@ -0,0 +1,129 @@
+//! The one place where the configuration is read, checked and given defaults. A message names the faulty key.
+
+use std::net::SocketAddr;
+
+use anyhow::{Context, Result, bail, ensure};
+use lockusher::interface::Span;
+use lockusher_host::settings::{Membership, Settings};
+use serde::Deserialize;
+
+use crate::protocol::discovery::ListText;
+
+/// What the mixer is told, checked.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: Sockets,
+    pub known: Option<ListText>,
+    pub settings: Settings,
+}
+
+/// What the sockets go by.
+#[derive(Clone, Copy, Debug)]
+pub struct Sockets {
+    /// Client connections at once, and connections to searchers at once.
+    pub most_clients: usize,
+    pub most_searchers: usize,
+    pub connect_timeout: Span,
+    /// Connections unused for so long are closed.
+    pub idle: Span,
+    /// Calls on one connection, and parts in one call.
+    pub most_calls: usize,
+    pub most_parts: usize,
+    /// Multigets and parts in hand.
+    pub most_open: usize,
+    pub shards: usize,
+    pub may_withdraw: bool,
+    /// How long discovery may hold a watch, and whether it tells only those that ask.
+    pub hold: Span,
+    pub on_request: bool,
+}
+
+#[derive(Deserialize)]
+struct Text {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: LimitsText,
+    known: Option<ListText>,
+    settings: Settings,
+}
+
+#[derive(Deserialize, Default)]
+struct LimitsText {
+    sockets: Option<usize>,
+}
+
+/// Descriptors for standard streams, the runtime, the listener and discovery.
+const OWN_DESCRIPTORS: usize = 32;
+const LEAST_SOCKETS: usize = 2 * OWN_DESCRIPTORS;
+
+/// Reads the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` stand in for keys that
+/// it lacks. `variable` looks up a variable.
+pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
+    let path = variable("LB_CONFIG").context("LB_CONFIG is not set: it names the configuration file")?;
+    let text = std::fs::read_to_string(&path).with_context(|| format!("LB_CONFIG: cannot read {path}"))?;
+    parse(&text, variable).with_context(|| path.clone())
+}
+
+pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config> {
+    let reader = &mut serde_json::Deserializer::from_str(text);
+    let read: Text = serde_path_to_error::deserialize(reader).map_err(|e| {
+        let (path, inner) = (e.path().to_string(), e.into_inner());
+        anyhow::anyhow!("{}: {inner}", if path == "." { "configuration" } else { &path })
+    })?;
+    let given = |key: &str, value: Option<String>, name: &str| {
+        value.or_else(|| variable(name)).with_context(|| format!("{key}: missing, and {name} is not set"))
+    };
+    let address = |key: &str, text: String| {
+        text.parse::<SocketAddr>().with_context(|| format!("{key}: \"{text}\" is no address with a port"))
+    };
+    let seed = read.seed.context("seed: missing")?;
+    let seed = u64::from_str_radix(&seed, 16)
+        .with_context(|| format!("seed: \"{seed}\" is not 1 to 16 hexadecimal digits"))?;
+    let sockets = sockets(&read.settings, read.limits.sockets.unwrap_or(1_024))?;
+    Ok(Config {
+        name: given("name", read.name, "LB_NAME")?,
+        listen: address("listen", given("listen", read.listen, "LB_LISTEN")?)?,
+        discovery: address("discovery", given("discovery", read.discovery, "LB_DISCOVERY")?)?,
+        seed,
+        sockets,
+        known: read.known,
+        settings: read.settings,
+    })
+}
+
+fn sockets(settings: &Settings, descriptors: usize) -> Result<Sockets> {
+    ensure!(descriptors >= LEAST_SOCKETS, "limits.sockets: {descriptors} is less than {LEAST_SOCKETS}");
+    let (limits, extra) = (&settings.limits, &settings.extra);
+    let span = |key: &str, value: Option<u64>, default: Span| match value {
+        Some(0) => bail!("settings.limits.{key}: must not be 0"),
+        value => Ok(value.map_or(default, Span::from_micros)),
+    };
+    let count = |key: &str, value: Option<usize>, default: usize| match value {
+        Some(0) => bail!("settings.{key}: must not be 0"),
+        value => Ok(value.unwrap_or(default)),
+    };
+    let connect_timeout = span("connect_timeout_us", limits.connect_timeout_us, Span::from_millis(250))?;
+    let idle = span("conn_idle_us", limits.conn_idle_us, Span::from_millis(15_000))?;
+    // What is sent as a searcher closes is lost: no connection is used when that close may be under way.
+    let idle = idle.saturating_sub(connect_timeout).max(idle.times(0.5));
+    let most_searchers = descriptors / 4;
+    Ok(Sockets {
+        most_clients: descriptors - OWN_DESCRIPTORS - most_searchers,
+        most_searchers,
+        connect_timeout,
+        idle,
+        most_calls: count("limits.max_streams", limits.max_streams, 32)?,
+        most_parts: count("extra.bundle_max", extra.bundle_max, 1)?,
+        most_open: count("limits.max_open", limits.max_open, 1_024)?,
+        shards: count("extra.slices", extra.slices, usize::MAX)?,
+        may_withdraw: limits.may_cancel,
+        hold: settings.ask_every().unwrap_or(Span::from_millis(20_000)),
+        on_request: settings.membership_mode == Membership::OnRequest,
+    })
+}
--- /dev/null
+++ b/crates/lockusher-mixer/src/protocol/frame.rs
@@ -0,0 +1,113 @@
+//! Searchers' frames. A frame's length is put before it and taken off by [`codec`].
+
+use std::fmt::Write;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use lockusher::interface::{Outcome, PartId, Shard, Span};
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::MOST_BODY;
+
+/// Room for a value as large as a body, and its line.
+const MOST_FRAME: usize = 2 * MOST_BODY;
+
+/// The length before each frame: four bytes, most significant first, no frame beyond a sane bound.
+pub fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().length_field_length(4).max_frame_length(MOST_FRAME).new_codec()
+}
+
+/// A part as it goes into a call.
+#[derive(Clone, Debug)]
+pub struct CallPart {
+    pub id: PartId,
+    pub shard: Shard,
+    /// How long the mixer waits.
+    pub wait: Span,
+    /// For a part of the second step: the shards that were in, and whether that was whole.
+    pub first_step: Option<(std::rc::Rc<[Shard]>, bool)>,
+    pub text: Bytes,
+}
+
+/// One call: a frame `m`.
+pub fn call<'a>(parts: impl Iterator<Item = &'a CallPart>) -> Bytes {
+    let mut frame = BytesMut::from(&b"m"[..]);
+    for part in parts {
+        let mut line = format!("{} {} d={}", part.id.as_str(), part.shard.0, part.wait.as_micros() / 1_000);
+        if let Some((shards, whole)) = &part.first_step {
+            let names: Vec<String> = shards.iter().map(|s| s.0.to_string()).collect();
+            let _ = write!(line, ",from={},whole={}", names.join("+"), u8::from(*whole));
+        }
+        let _ = writeln!(line, " {}", part.text.len());
+        frame.put_slice(line.as_bytes());
+        frame.put_slice(&part.text);
+    }
+    frame.freeze()
+}
+
+/// A part is given up: a frame `n`.
+pub fn given_up(id: &PartId) -> Bytes {
+    Bytes::from(format!("n{}", id.as_str()))
+}
+
+/// What the mixer answers a probe with: it is well; of its load it has nothing to tell.
+pub fn probe_answer(probe: Probe) -> Bytes {
+    Bytes::from_static(match probe {
+        Probe::Health => b"ogood",
+        Probe::Load => b"p-",
+    })
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Probe {
+    Health,
+    Load,
+}
+
+/// What a searcher sends.
+#[derive(Debug, PartialEq)]
+pub enum FromSearcher {
+    Ended(PartEnded),
+    Probe(Probe),
+    /// An answer to a probe, which the mixer never sends.
+    Nothing,
+    /// A frame could not be used; the connection closes.
+    Unusable(String),
+}
+
+#[derive(Debug, PartialEq)]
+pub struct PartEnded {
+    pub id: PartId,
+    pub outcome: Outcome,
+    pub score: i64,
+    pub value: String,
+}
+
+/// `None` if it can't be read.
+pub fn decode(frame: &[u8]) -> Option<FromSearcher> {
+    let (letter, rest) = frame.split_first()?;
+    Some(match letter {
+        b'q' => FromSearcher::Ended(ended(rest)?),
+        b'o' if rest.is_empty() => FromSearcher::Probe(Probe::Health),
+        b'p' if rest.is_empty() => FromSearcher::Probe(Probe::Load),
+        b'o' | b'p' => FromSearcher::Nothing,
+        b'r' => FromSearcher::Unusable(String::from_utf8_lossy(rest).into_owned()),
+        _ => return None,
+    })
+}
+
+fn ended(rest: &[u8]) -> Option<PartEnded> {
+    let end = rest.iter().position(|&b| b == b'\n')?;
+    let line = std::str::from_utf8(&rest[..end]).ok()?;
+    let mut words = line.split(' ');
+    let (id, how, score) = (words.next()?, words.next()?, words.next()?);
+    let outcome = match how {
+        "good" => Outcome::Returned,
+        "bad" => Outcome::Error,
+        "later" => Outcome::Full,
+        _ => return None,
+    };
+    // Where there is nothing to score, a dash may stand.
+    let score = if score == "-" { 0 } else { score.parse().ok()? };
+    let value = std::str::from_utf8(&rest[end + 1..]).ok()?.to_owned();
+    (!id.is_empty()).then(|| PartEnded { id: PartId::new(id), outcome, score, value })
+}
--- /dev/null
+++ b/crates/lockusher-mixer/src/protocol/mod.rs
@@ -0,0 +1,8 @@
+//! The wire's texts, decoded once into typed values and encoded once. Pure: no socket, no clock.
+
+pub mod client;
+pub mod discovery;
+pub mod frame;
+
+/// What a body may hold at most.
+pub const MOST_BODY: usize = 64 * 1024;
--- /dev/null
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -0,0 +1,250 @@
+//! What the router keeps for the host: the ways back to clients, values that came in, sends that are out with
+//! their time-outs, and the second step's parts.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
+
+use bytes::Bytes;
+use lockusher::interface::*;
+use lockusher_host::host::{NewPart, Wire};
+use tokio::sync::{Notify, oneshot};
+
+use super::Given;
+use crate::must_hold;
+use crate::protocol::client::{self, Request};
+use crate::protocol::frame::CallPart;
+use crate::transport::searchers::{Searchers, Sent};
+
+/// A multiget without its final answer.
+struct Open {
+    number: u64,
+    text: Bytes,
+    reply: oneshot::Sender<Given>,
+    /// Multiget and parts, as they count against what may be in hand.
+    weight: usize,
+    /// Score and value of each part that came in.
+    values: HashMap<PartId, (i64, String)>,
+    /// The shards that the first step had in, and whether it was whole.
+    first_step: Option<(Rc<[Shard]>, bool)>,
+}
+
+/// A part and the number of its send.
+type Nth = (PartId, usize);
+
+pub struct Desk {
+    pub searchers: Searchers,
+    /// Parts of the second step, by op type.
+    second_steps: Vec<usize>,
+    asked: Rc<Notify>,
+    now: Time,
+    open: HashMap<MultigetId, Open>,
+    /// Whose part it is.
+    owners: HashMap<PartId, MultigetId>,
+    held: usize,
+    /// Sends that are out: where, and since when.
+    out: HashMap<Nth, (SearcherId, Time)>,
+    time_outs: BinaryHeap<Reverse<(Time, PartId, usize)>>,
+    /// Sends of this settling, not yet handed to the sockets.
+    departing: Vec<(SearcherId, Sent)>,
+    /// Sends that ended here, and second steps that began.
+    ended: Vec<(PartId, usize, Outcome)>,
+    begun: Vec<(u64, NewPart)>,
+}
+
+impl Desk {
+    pub fn new(searchers: Searchers, second_steps: Vec<usize>, asked: Rc<Notify>) -> Self {
+        Desk {
+            searchers,
+            second_steps,
+            asked,
+            now: Time::from_micros(0),
+            open: HashMap::new(),
+            owners: HashMap::new(),
+            held: 0,
+            out: HashMap::new(),
+            time_outs: BinaryHeap::new(),
+            departing: Vec::new(),
+            ended: Vec::new(),
+            begun: Vec::new(),
+        }
+    }
+
+    /// A batch begins.
+    pub fn begin(&mut self, now: Time) {
+        self.now = now;
+    }
+
+    pub fn holds(&self, id: &MultigetId) -> bool {
+        self.open.contains_key(id)
+    }
+
+    /// Multigets and parts without their final answer.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    pub fn multigets(&self) -> usize {
+        self.open.len()
+    }
+
+    pub fn take(&mut self, number: u64, request: Request, reply: oneshot::Sender<Given>) {
+        let weight = 1 + request.parts.len();
+        self.held += weight;
+        let (text, values) = (request.text, HashMap::new());
+        self.open.insert(request.id, Open { number, text, reply, weight, values, first_step: None });
+    }
+
+    /// An answer of a part; the first counts.
+    pub fn came_in(&mut self, part: &PartId, answer: (i64, String)) {
+        if let Some(open) = self.owners.get(part).and_then(|id| self.open.get_mut(id)) {
+            open.values.entry(part.clone()).or_insert(answer);
+        }
+    }
+
+    /// A send has ended; tells when it began, unless it had ended before.
+    pub fn closed(&mut self, part: &PartId, nth: usize) -> Option<Time> {
+        let (_, at) = self.out.remove(&(part.clone(), nth))?;
+        Some(at)
+    }
+
+    /// Gives a send up: its connection is told, its end is heard of in this batch.
+    pub fn give_up(&mut self, part: &PartId, nth: usize) {
+        self.cease(part, nth);
+        self.ended.push((part.clone(), nth, Outcome::Withdrawn));
+    }
+
+    fn cease(&mut self, part: &PartId, nth: usize) {
+        self.departing.retain(|(_, (n, p))| p.id != *part || *n != nth);
+        if let Some((to, _)) = self.out.get(&(part.clone(), nth)) {
+            self.searchers.give_up(to, part, nth);
+        }
+    }
+
+    /// A send that has timed out by now.
+    pub fn timed_out(&mut self) -> Option<Nth> {
+        while let Some(Reverse((due, ..))) = self.time_outs.peek()
+            && *due <= self.now
+        {
+            let Reverse((_, part, nth)) = self.time_outs.pop()?;
+            let sent = (part, nth);
+            if self.out.contains_key(&sent) {
+                self.cease(&sent.0, nth);
+                return Some(sent);
+            }
+        }
+        None
+    }
+
+    pub fn next_time_out(&mut self, now: Time) -> Option<Span> {
+        while let Some(Reverse((due, part, nth))) = self.time_outs.peek() {
+            if self.out.contains_key(&(part.clone(), *nth)) {
+                return Some(due.since(now));
+            }
+            self.time_outs.pop();
+        }
+        None
+    }
+
+    /// Hands this settling's sends to the sockets; those to one searcher share calls.
+    pub fn depart(&mut self) {
+        let mut calls: Vec<(SearcherId, Vec<Sent>)> = Vec::new();
+        let most = self.searchers.most_parts();
+        for (to, sent) in std::mem::take(&mut self.departing) {
+            match calls.iter_mut().rev().find(|(at, call)| *at == to && call.len() < most) {
+                Some((_, call)) => call.push(sent),
+                None => calls.push((to, vec![sent])),
+            }
+        }
+        for (to, call) in calls {
+            let refused = self.searchers.send(&to, call).err().into_iter().flatten();
+            self.ended.extend(refused.map(|(nth, part)| (part.id, nth, Outcome::NoConnection)));
+        }
+    }
+
+    /// What came of the last settling: sends that ended here, and parts of second steps.
+    pub fn made(&mut self) -> (Vec<(PartId, usize, Outcome)>, Vec<(u64, NewPart)>) {
+        (std::mem::take(&mut self.ended), std::mem::take(&mut self.begun))
+    }
+
+    /// A client went away; tells whether its multiget was open.
+    pub fn forget(&mut self, id: &MultigetId) -> bool {
+        self.close(id).is_some()
+    }
+
+    fn close(&mut self, id: &MultigetId) -> Option<Open> {
+        let open = self.open.remove(id)?;
+        self.held -= open.weight;
+        self.owners.retain(|_, owner| owner != id);
+        Some(open)
+    }
+
+    /// The second step goes to the highest scores among the shards that are in.
+    fn second_step(&mut self, multiget: &Multiget, whole: bool, most: usize) {
+        let Some(open) = self.open.get_mut(&multiget.id) else { return };
+        let score = |part: &Part| open.values.get(&part.id).map_or(0, |(score, _)| *score);
+        let mut best: Vec<&Part> = multiget.parts.iter().filter(|p| p.returned).collect();
+        let shards: Rc<[Shard]> = best.iter().map(|p| p.shard).collect();
+        best.sort_by_key(|part| (Reverse(score(part)), part.shard));
+        best.truncate(most);
+        let weight = 1.0 / best.len().max(1) as f64;
+        for part in best {
+            let id = PartId::new(&format!("{}.{}.r", multiget.id.as_str(), part.shard.0));
+            let part = NewPart { id, shard: part.shard, weight, hint: None };
+            self.begun.push((open.number, part));
+        }
+        open.first_step = Some((shards, whole));
+    }
+}
+
+impl Wire for Desk {
+    fn send(&mut self, multiget: &Multiget, order: &Order) {
+        let part = &multiget.parts[order.part];
+        must_hold!(!multiget.ended, "nothing is sent for a multiget that has its final answer");
+        must_hold!(!part.returned, "nothing is sent for a part that is in");
+        let Some(open) = self.open.get(&multiget.id) else { return };
+        if order.anew {
+            self.searchers.close_unused(&order.to);
+        }
+        let (nth, id) = (part.sends.len(), part.id.clone());
+        self.owners.insert(id.clone(), multiget.id.clone());
+        self.out.insert((id.clone(), nth), (order.to.clone(), self.now));
+        self.time_outs.push(Reverse((self.now + order.timeout, id.clone(), nth)));
+        let first_step = open.first_step.clone().filter(|_| part.second_step);
+        let (shard, wait, text) = (part.shard, order.timeout, open.text.clone());
+        self.departing.push((order.to.clone(), (nth, CallPart { id, shard, wait, first_step, text })));
+    }
+
+    fn withdraw(&mut self, part: &PartId, nth: usize) {
+        self.give_up(part, nth);
+    }
+
+    fn reply(&mut self, multiget: &Multiget, reply: Reply) {
+        if let Reply::Answered { whole } = reply
+            && !multiget.ended
+        {
+            let most = self.second_steps[multiget.op_type.0];
+            return self.second_step(multiget, whole, most);
+        }
+        let open = self.close(&multiget.id);
+        must_hold!(open.is_some(), "a multiget gets one final answer");
+        let Some(open) = open else { return };
+        let given = match reply {
+            Reply::PushedBack { come_back_in } => Given::PushedBack(come_back_in),
+            Reply::Failed => Given::Failed,
+            Reply::Answered { whole } => {
+                let second = open.first_step.is_some();
+                let counts = |p: &&Part| p.returned && p.second_step == second;
+                let value = |p: &Part| open.values.get(&p.id).map(|(_, value)| value.as_str());
+                let parts = multiget.parts.iter().filter(counts);
+                Given::Answer(client::answer(whole, parts.filter_map(|p| Some((p.shard, value(p)?)))))
+            }
+        };
+        // A client that went away meanwhile is no longer there to be told.
+        let _ = open.reply.send(given);
+    }
+
+    fn subscribe(&mut self) {
+        self.asked.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -0,0 +1,245 @@
+//! The one task that owns the decision module. Sockets reach it through its queue only.
+
+mod desk;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use anyhow::Result;
+use bytes::Bytes;
+use lockusher::interface::*;
+use lockusher_host::host::{Ended, Host, NewPart, Taken};
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::clock::{Clock, duration};
+use crate::config::{Config, Sockets};
+use crate::protocol::client::{Request, Unusable};
+use crate::protocol::discovery::List;
+use crate::transport::searchers::Searchers;
+use crate::{log, must_hold};
+use desk::Desk;
+
+/// What comes to the router.
+pub enum Arrival {
+    Asked(Box<Asked>),
+    Ended(SendEnded),
+    /// Discovery told something, or refused.
+    Told(Option<List>),
+}
+
+/// A multiget, and the way back to its client.
+pub struct Asked {
+    pub request: Request,
+    /// When its last byte was read.
+    pub at: Instant,
+    pub reply: oneshot::Sender<Given>,
+}
+
+/// What a client is given.
+#[derive(Debug)]
+pub enum Given {
+    Answer(Bytes),
+    PushedBack(Option<Span>),
+    Failed,
+    Unusable(Unusable),
+}
+
+/// How a send ended.
+pub struct SendEnded {
+    pub part: PartId,
+    pub nth: usize,
+    pub outcome: Outcome,
+    pub at: Instant,
+    /// Score and value of what returned.
+    pub answer: Option<(i64, String)>,
+}
+
+/// The ends of the queue that others hold.
+pub struct Inlets {
+    pub arrivals: mpsc::Receiver<Arrival>,
+    pub left: mpsc::UnboundedReceiver<MultigetId>,
+}
+
+pub struct Router {
+    clock: Clock,
+    host: Host,
+    desk: Desk,
+    sockets: Sockets,
+    inlets: Inlets,
+    can_serve: Rc<Cell<bool>>,
+    next_number: u64,
+    /// Multigets in hand that have no final answer yet.
+    open: Rc<Cell<usize>>,
+}
+
+impl Router {
+    pub fn start(
+        clock: Clock,
+        config: &Config,
+        searchers: Searchers,
+        asked: Rc<Notify>,
+        inlets: Inlets,
+        can_serve: Rc<Cell<bool>>,
+        open: Rc<Cell<usize>>,
+    ) -> Result<Self> {
+        let host = Host::start(clock.now(), config.seed, &config.settings)?;
+        let second_steps = config.settings.op_types().map_err(anyhow::Error::msg)?;
+        let second_steps = second_steps.iter().map(|op| op.second_step).collect();
+        let desk = Desk::new(searchers, second_steps, asked);
+        let sockets = config.sockets;
+        Ok(Router { clock, host, desk, sockets, inlets, can_serve, next_number: 0, open })
+    }
+
+    /// Tells the list that was held last.
+    pub fn remember(&mut self, list: List) {
+        self.told(self.clock.now(), list, News::Remembered);
+    }
+
+    pub async fn run(mut self) {
+        // A batch has one settling; a longer one would let the first of it wait.
+        const MOST: usize = 64;
+        let mut next = Some(Span::ZERO);
+        loop {
+            let wait = next.map_or(std::time::Duration::MAX, duration);
+            let (mut arrival, mut left) = (None, None);
+            tokio::select! {
+                got = self.inlets.arrivals.recv() => match got {
+                    Some(got) => arrival = Some(got),
+                    None => return,
+                },
+                Some(id) = self.inlets.left.recv() => left = Some(id),
+                () = tokio::time::sleep(wait) => {}
+            }
+            let now = self.clock.now();
+            self.desk.begin(now);
+            let mut handled = 0;
+            while let Some(got) = arrival {
+                self.arrived(now, got);
+                handled += 1;
+                arrival = (handled < MOST).then(|| self.inlets.arrivals.try_recv().ok()).flatten();
+            }
+            while let Some(id) = left {
+                self.client_left(&id);
+                left = self.inlets.left.try_recv().ok();
+            }
+            while let Some((part, nth)) = self.desk.timed_out() {
+                self.ended(now, part, nth, Outcome::TimedOut, None);
+            }
+            next = self.settle(now);
+        }
+    }
+
+    fn arrived(&mut self, now: Time, arrival: Arrival) {
+        match arrival {
+            Arrival::Asked(asked) => self.asked(now, *asked),
+            Arrival::Ended(SendEnded { part, nth, outcome, at, answer }) => {
+                if let Some(answer) = answer {
+                    self.desk.came_in(&part, answer);
+                }
+                self.ended(now, part, nth, outcome, Some(self.clock.at(at)));
+            }
+            Arrival::Told(Some(list)) => {
+                let kind = if list.complete { News::All } else { News::Changes };
+                self.told(now, list, kind);
+            }
+            Arrival::Told(None) => self.host.news(now, News::Refused),
+        }
+    }
+
+    fn asked(&mut self, now: Time, Asked { request, at, reply }: Asked) {
+        if self.desk.holds(&request.id) || self.host.in_hand().contains_key(&request.id) {
+            let _ = reply.send(Given::Unusable(Unusable::new(409, "a multiget of this id is in hand")));
+            return;
+        }
+        if self.desk.held() + 1 + request.parts.len() > self.sockets.most_open {
+            let _ = reply.send(Given::PushedBack(None));
+            return;
+        }
+        self.next_number += 1;
+        let number = self.next_number;
+        let hint = request.parts.iter().try_fold(Span::ZERO, |all, part| Some(all + part.hint?));
+        let taken = Taken {
+            id: request.id.clone(),
+            number,
+            op_type: request.op_type,
+            tenant: request.tenant,
+            resubmitted: request.resubmitted,
+            hint,
+            ends: self.clock.at(at) + request.given,
+        };
+        self.host.take(now, taken);
+        for part in &request.parts {
+            let id = PartId::new(&format!("{}.{}", request.id.as_str(), part.shard.0));
+            let (shard, weight, hint) = (part.shard, part.weight, part.hint);
+            self.host.join(now, number, NewPart { id, shard, weight, hint });
+        }
+        self.desk.take(number, request, reply);
+    }
+
+    /// The end of a send, once; `at` is when it was heard of, if before now.
+    fn ended(&mut self, now: Time, part: PartId, nth: usize, outcome: Outcome, at: Option<Time>) {
+        let Some(sent) = self.desk.closed(&part, nth) else { return };
+        let elapsed = at.unwrap_or(now).since(sent);
+        let closed = outcome == Outcome::Returned;
+        let ended = Ended { part, nth, outcome, elapsed, closed };
+        let noted = self.host.ended(now, &ended, &mut self.desk);
+        must_hold!(noted.is_ok(), "an outcome finds its send");
+    }
+
+    fn told(&mut self, now: Time, list: List, kind: fn(Vec<Listed>) -> News) {
+        let gone = |state| state == SearcherState::Gone;
+        for (line, address) in list.lines.iter().filter(|(line, _)| !gone(line.state)) {
+            self.desk.searchers.at(&line.id, *address);
+        }
+        self.desk.searchers.forget(|id| match list.lines.iter().find(|(line, _)| line.id == *id) {
+            Some((line, _)) => gone(line.state),
+            None => list.complete,
+        });
+        self.host.news(now, kind(list.lines.into_iter().map(|(line, _)| line).collect()));
+        self.can_serve.set(self.desk.searchers.known() > 0);
+    }
+
+    fn client_left(&mut self, id: &MultigetId) {
+        if !self.desk.forget(id) {
+            return; // Its answer crossed with its going.
+        }
+        if self.sockets.may_withdraw
+            && let Some(multiget) = self.host.in_hand().get(id)
+        {
+            for part in &multiget.parts {
+                for (nth, _) in part.sends.iter().enumerate().filter(|(_, s)| s.outcome.is_none()) {
+                    self.desk.give_up(&part.id, nth);
+                }
+            }
+        }
+        self.host.client_left(id);
+    }
+
+    /// Has all turns taken that are due, until nothing more comes of them now.
+    fn settle(&mut self, now: Time) -> Option<Span> {
+        let mut next;
+        loop {
+            next = self.host.settle(now, &mut self.desk);
+            self.desk.depart();
+            let (ended, begun) = self.desk.made();
+            if ended.is_empty() && begun.is_empty() {
+                break;
+            }
+            for (part, nth, outcome) in ended {
+                self.ended(now, part, nth, outcome, None);
+            }
+            for (number, part) in begun {
+                self.host.join(now, number, part);
+            }
+        }
+        self.open.set(self.desk.multigets());
+        next.into_iter().chain(self.desk.next_time_out(now)).min()
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        log!("the router has ended with {} multigets open", self.desk.multigets());
+    }
+}
--- /dev/null
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -0,0 +1,203 @@
+//! Clients: accepting, reading requests, writing answers.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_http::body::BoxBody;
+use actix_http::header::{CONTENT_TYPE, RETRY_AFTER};
+use actix_http::{
+    ConnectionType, HttpMessage, HttpService, KeepAlive, Protocol, Request, Response, StatusCode,
+};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use lockusher::interface::MultigetId;
+use lockusher_host::settings::Names;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
+
+use crate::config::Sockets;
+use crate::log;
+use crate::protocol::MOST_BODY;
+use crate::protocol::client::{self, Head, Unusable};
+use crate::routing::{Arrival, Asked, Given};
+
+/// How far the program has come in stopping.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub enum Stopping {
+    No,
+    /// Answers close their connections.
+    Asked,
+    /// Unused connections are closed.
+    Closing,
+}
+
+/// What all connections share.
+pub struct Desk {
+    pub names: Names,
+    pub sockets: Sockets,
+    pub queue: mpsc::Sender<Arrival>,
+    /// Clients that went away; as many at most as multigets were taken.
+    pub left: mpsc::UnboundedSender<MultigetId>,
+    pub can_serve: Rc<Cell<bool>>,
+    pub stopping: watch::Receiver<Stopping>,
+}
+
+impl Desk {
+    fn stops(&self) -> bool {
+        *self.stopping.borrow() != Stopping::No
+    }
+}
+
+/// Serves connections until `closed`; ends when the last one that was accepted has ended.
+pub async fn serve(listener: TcpListener, desk: Rc<Desk>, closed: Rc<Notify>) {
+    let places = Arc::new(Semaphore::new(desk.sockets.most_clients));
+    let (shared, signal) = (desk.clone(), desk.stopping.clone());
+    let service = HttpService::build()
+        .keep_alive(KeepAlive::Os)
+        .client_request_timeout(Duration::ZERO)
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || {
+            let mut signal = signal.clone();
+            async move {
+                let _ = signal.wait_for(|s| *s == Stopping::Closing).await;
+            }
+        })
+        .finish(fn_service(move |request: Request| {
+            let desk = shared.clone();
+            async move { Ok::<_, Infallible>(handle(request, &desk).await) }
+        }))
+        .new_service(())
+        .await;
+    let Ok(service) = service.map(Rc::new) else {
+        return log!("the server of clients could not be made");
+    };
+    let accept = async {
+        loop {
+            // Accepting pauses before descriptors run out; the rest waits in the listener's backlog.
+            let Ok(place) = places.clone().acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, peer)) => {
+                    let _ = stream.set_nodelay(true);
+                    let connection = service.call((stream, Protocol::Http1, Some(peer)));
+                    actix_rt::spawn(async move {
+                        // What ends a connection concerns its client alone.
+                        let _ = connection.await;
+                        drop(place);
+                    });
+                }
+                Err(error) => {
+                    log!("accepting: {error}");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = accept => {}
+        () = closed.notified() => {}
+    }
+    drop(listener);
+    let _ = places.acquire_many(desk.sockets.most_clients as u32).await;
+}
+
+async fn handle(mut request: Request, desk: &Desk) -> Response<BoxBody> {
+    let mut response = match request.path() {
+        client::UP if desk.can_serve.get() && !desk.stops() => plain(200, "up"),
+        client::UP => plain(503, "not serving"),
+        _ => match multiget(&mut request, desk).await {
+            Ok(response) => response,
+            Err(unusable) => plain(unusable.status, &unusable.why),
+        },
+    };
+    if desk.stops() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+fn plain(status: u16, words: &str) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    Response::build(status)
+        .insert_header((CONTENT_TYPE, "text/plain"))
+        .body(format!("{words}\n"))
+        .map_into_boxed_body()
+}
+
+/// Tells the router when a client goes away before its answer.
+struct Waiting<'a> {
+    desk: &'a Desk,
+    id: Option<MultigetId>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            let _ = self.desk.left.send(id);
+        }
+    }
+}
+
+async fn multiget(request: &mut Request, desk: &Desk) -> Result<Response<BoxBody>, Unusable> {
+    let mut payload = request.take_payload();
+    let named = |name: &str| request.headers().get(name).and_then(|v| v.to_str().ok());
+    let head = Head {
+        method: request.method().as_str(),
+        path: request.path(),
+        id: named(client::ID),
+        op_type: named(client::OP_TYPE),
+        tenant: named(client::TENANT),
+        deadline: named(client::DEADLINE),
+        resubmitted: named(client::RESUBMITTED),
+    };
+    client::check(&head, &desk.names)?;
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|e| Unusable::new(400, format!("the body: {e}")))?;
+        if body.len() + chunk.len() > MOST_BODY {
+            return Err(Unusable::new(413, "the body is too large"));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    let at = Instant::now();
+    let request = client::decode(&head, &body, &desk.names, desk.sockets.shards)?;
+    let (reply, answer) = oneshot::channel();
+    let id = request.id.clone();
+    if desk.queue.try_send(Arrival::Asked(Box::new(Asked { request, at, reply }))).is_err() {
+        return Ok(plain(503, "too much is waiting"));
+    }
+    let mut waiting = Waiting { desk, id: Some(id) };
+    let given = answer.await;
+    waiting.id = None;
+    Ok(match given {
+        Ok(Given::Answer(body)) => {
+            let mut response = Response::build(StatusCode::OK);
+            response.insert_header((CONTENT_TYPE, "application/json")).body(body).map_into_boxed_body()
+        }
+        Ok(Given::PushedBack(None)) => plain(503, "pushed back"),
+        Ok(Given::PushedBack(Some(span))) => {
+            let mut response = plain(503, "pushed back");
+            if let Ok(value) = client::retry_after(span).parse() {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+            response
+        }
+        Ok(Given::Unusable(unusable)) => return Err(unusable),
+        Ok(Given::Failed) | Err(_) => plain(500, "failed"),
+    })
+}
+
+/// Listens on this address only.
+pub async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4().and_then(|socket| {
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(socket)
+    })?;
+    socket.listen(1_024)
+}
--- /dev/null
+++ b/crates/lockusher-mixer/src/transport/mod.rs
@@ -0,0 +1,5 @@
+//! Sockets. They move bytes and decide nothing; what they learn goes to the router through its queue.
+
+pub mod clients;
+pub mod discovery;
+pub mod searchers;
