Rounded portions are scaled to a sum of one

What was left is the sum of weights: portions come rounded (three of 0.333333), so a whole first step stayed under the least share of 1 by more than the module's 1e-6. Faulty line: the weight taken raw in protocol/client.rs. Decoding scales them; a sum that is off by more than a hundredth is a bad request.

--- a/crates/lockusher-mixer/src/protocol/client.rs
+++ b/crates/lockusher-mixer/src/protocol/client.rs
@@ -143,13 +143,19 @@
         if !seen.insert(shard) {
             return Err(bad(format!("range {shard} is named twice")));
         }
-        if !(part.portion >= 0.0 && part.portion <= 1.0 + 1e-6) {
+        if !(0.0..=1.0).contains(&part.portion) {
             return Err(bad(format!("portion of range {shard} is no share")));
         }
     }
+    // Written shares are rounded: three of 0.333333 are a whole.
+    const ROUNDED: f64 = 0.01;
+    let all: f64 = body.ranges.iter().map(|part| part.portion).sum();
+    if (all - 1.0).abs() > ROUNDED {
+        return Err(bad(format!("portions sum to {all}, not to 1")));
+    }
     let part = |r: &Range| RequestPart {
         shard: Shard(r.range),
-        weight: r.portion,
+        weight: r.portion / all,
         hint: r.price.map(Span::from_micros),
     };
     Ok(Request {
--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -31,6 +31,10 @@
 
 /// A part and the number of its send.
 type Nth = (PartId, usize);
+/// A send that ended without its searcher.
+type EndedHere = (PartId, usize, Outcome);
+/// A part of a second step, with the number of its multiget.
+type Begun = (u64, NewPart);
 
 pub struct Desk {
     pub searchers: Searchers,
@@ -48,8 +52,8 @@
     /// Sends of this settling, not yet handed to the sockets.
     departing: Vec<(SearcherId, Sent)>,
     /// Sends that ended here, and second steps that began.
-    ended: Vec<(PartId, usize, Outcome)>,
-    begun: Vec<(u64, NewPart)>,
+    ended: Vec<EndedHere>,
+    begun: Vec<Begun>,
 }
 
 impl Desk {
@@ -163,7 +167,7 @@
     }
 
     /// What came of the last settling: sends that ended here, and parts of second steps.
-    pub fn made(&mut self) -> (Vec<(PartId, usize, Outcome)>, Vec<(u64, NewPart)>) {
+    pub fn made(&mut self) -> (Vec<EndedHere>, Vec<Begun>) {
         (std::mem::take(&mut self.ended), std::mem::take(&mut self.begun))
     }
 
