Stories over loopback; room for those that ask under a flood of connections

Clients' connections know whether a request is in hand: at a stop they are closed only between two requests and what has come is read first; with no place left the one unused for longest makes room, those that never asked first. A searcher's connection that is retired stays known until it is over, so that what is out there can still be given up (faulty before: forget() dropped them from the table). A client's going is told by its way back being closed, not by its id, which may be another's. 46 stories against the real program with stand-ins, 22 tests of codecs and configuration messages.

--- a/crates/lockusher-mixer/src/config.rs
+++ b/crates/lockusher-mixer/src/config.rs
@@ -1,12 +1,14 @@
 //! The one place where the configuration is read, checked and given defaults. A message names the faulty key.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::{Context, Result, bail, ensure};
 use lockusher::interface::Span;
 use lockusher_host::settings::{Membership, Settings};
 use serde::Deserialize;
 
+use crate::clock::duration;
 use crate::protocol::discovery::ListText;
 
 /// What the mixer is told, checked.
@@ -36,6 +38,8 @@
     pub most_open: usize,
     pub shards: usize,
     pub may_withdraw: bool,
+    /// No client waits longer for an answer.
+    pub longest: Duration,
     /// How long discovery may hold a watch, and whether it tells only those that ask.
     pub hold: Span,
     pub on_request: bool,
@@ -100,6 +104,7 @@
 fn sockets(settings: &Settings, descriptors: usize) -> Result<Sockets> {
     ensure!(descriptors >= LEAST_SOCKETS, "limits.sockets: {descriptors} is less than {LEAST_SOCKETS}");
     let (limits, extra) = (&settings.limits, &settings.extra);
+    ensure!(settings.layout().cells > 0, "settings.extra.cells: must not be 0");
     let span = |key: &str, value: Option<u64>, default: Span| match value {
         Some(0) => bail!("settings.limits.{key}: must not be 0"),
         value => Ok(value.map_or(default, Span::from_micros)),
@@ -113,6 +118,8 @@
     // What is sent as a searcher closes is lost: no connection is used when that close may be under way.
     let idle = idle.saturating_sub(connect_timeout).max(idle.times(0.5));
     let most_searchers = descriptors / 4;
+    let op_types = settings.op_types().map_err(|e| anyhow::anyhow!("settings: {e}"))?;
+    let longest = op_types.iter().map(|op| op.route_timeout).max().unwrap_or(Span::ZERO);
     Ok(Sockets {
         most_clients: descriptors - OWN_DESCRIPTORS - most_searchers,
         most_searchers,
@@ -123,6 +130,7 @@
         most_open: count("limits.max_open", limits.max_open, 1_024)?,
         shards: count("extra.slices", extra.slices, usize::MAX)?,
         may_withdraw: limits.may_cancel,
+        longest: duration(longest),
         hold: settings.ask_every().unwrap_or(Span::from_millis(20_000)),
         on_request: settings.membership_mode == Membership::OnRequest,
     })
--- a/crates/lockusher-mixer/src/main.rs
+++ b/crates/lockusher-mixer/src/main.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use lockusher::interface::Span;
-use lockusher_mixer::clock::{Clock, duration};
+use lockusher_mixer::clock::Clock;
 use lockusher_mixer::config::{self, Config};
 use lockusher_mixer::log;
 use lockusher_mixer::routing::{Inlets, Router};
@@ -17,11 +16,11 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 
-/// After a signal to stop, unused connections are closed by 0.7 s; most are used before and close with their
-/// answer.
+/// After a signal to stop, unused connections are closed before 0.7 s are over; most are used before and close
+/// with their answer.
 const CLOSE_UNUSED: Duration = Duration::from_millis(500);
-/// No new connection comes after this.
-const CLOSE_LISTENER: Duration = Duration::from_millis(700);
+/// No new connection comes after this; those that came last are closed unless a request is in hand.
+const CLOSE_LISTENER: Duration = Duration::from_millis(600);
 
 async fn serve(config: Config) -> Result<()> {
     let clock = Clock::start();
@@ -44,6 +43,7 @@
     }
     let listener =
         clients::listen(config.listen).await.with_context(|| format!("listen: {}", config.listen))?;
+    let at = listener.local_addr().context("listen")?;
     let names = config.settings.names();
     let watching =
         discovery::watch(config.discovery, sockets, config.settings.names(), from, asked, queue.clone());
@@ -52,7 +52,7 @@
     let desk = Rc::new(Desk { names, sockets, queue, left, can_serve, stopping });
     let closed = Rc::new(Notify::new());
     let mut serving = actix_rt::spawn(clients::serve(listener, desk, closed.clone()));
-    log!("{} serves on {}", config.name, config.listen);
+    log!("{} serves on {at}", config.name);
 
     tokio::select! {
         _ = terminated.recv() => {}
@@ -72,9 +72,7 @@
     stop.send_replace(Stopping::Closing);
     tokio::time::sleep(CLOSE_LISTENER.saturating_sub(CLOSE_UNUSED)).await;
     closed.notify_one();
-    let op_types = config.settings.op_types().map_err(anyhow::Error::msg)?;
-    let longest = op_types.iter().map(|op| op.route_timeout).max().unwrap_or(Span::ZERO);
-    let answered = tokio::time::timeout(duration(longest), serving).await;
+    let answered = tokio::time::timeout(sockets.longest, serving).await;
     log!("{} ends: {}", config.name, if answered.is_ok() { "all was answered" } else { "connections left" });
     Ok(())
 }
--- a/crates/lockusher-mixer/src/protocol/frame.rs
+++ b/crates/lockusher-mixer/src/protocol/frame.rs
@@ -8,12 +8,14 @@
 
 use super::MOST_BODY;
 
-/// Room for a value as large as a body, and its line.
-const MOST_FRAME: usize = 2 * MOST_BODY;
+/// The longest frame that is read: room for a value as large as a body, and its line.
+pub const MOST: usize = 2 * MOST_BODY;
+/// What the mixer writes is bounded by what it has in hand.
+pub const ANY: usize = u32::MAX as usize;
 
-/// The length before each frame: four bytes, most significant first, no frame beyond a sane bound.
-pub fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().length_field_length(4).max_frame_length(MOST_FRAME).new_codec()
+/// The length before each frame: four bytes, most significant first.
+pub fn codec(most: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().length_field_length(4).max_frame_length(most).new_codec()
 }
 
 /// A part as it goes into a call.
--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -171,9 +171,9 @@
         (std::mem::take(&mut self.ended), std::mem::take(&mut self.begun))
     }
 
-    /// A client went away; tells whether its multiget was open.
+    /// A client went away; tells whether its multiget was open. One of the same id may be another's.
     pub fn forget(&mut self, id: &MultigetId) -> bool {
-        self.close(id).is_some()
+        self.open.get(id).is_some_and(|open| open.reply.is_closed()) && self.close(id).is_some()
     }
 
     fn close(&mut self, id: &MultigetId) -> Option<Open> {
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -148,6 +148,9 @@
     }
 
     fn asked(&mut self, now: Time, Asked { request, at, reply }: Asked) {
+        if reply.is_closed() {
+            return; // Its client went away while it waited here.
+        }
         if self.desk.holds(&request.id) || self.host.in_hand().contains_key(&request.id) {
             let _ = reply.send(Given::Unusable(Unusable::new(409, "a multiget of this id is in hand")));
             return;
@@ -197,7 +200,7 @@
             None => list.complete,
         });
         self.host.news(now, kind(list.lines.into_iter().map(|(line, _)| line).collect()));
-        self.can_serve.set(self.desk.searchers.known() > 0);
+        self.can_serve.set(self.can_serve.get() || self.desk.searchers.known() > 0);
     }
 
     fn client_left(&mut self, id: &MultigetId) {
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -25,6 +25,7 @@
 use crate::protocol::MOST_BODY;
 use crate::protocol::client::{self, Head, Unusable};
 use crate::routing::{Arrival, Asked, Given};
+use crate::transport::client_stream::{ClientStream, Connections, Usage};
 
 /// How far the program has come in stopping.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -55,18 +56,16 @@
 
 /// Serves connections until `closed`; ends when the last one that was accepted has ended.
 pub async fn serve(listener: TcpListener, desk: Rc<Desk>, closed: Rc<Notify>) {
-    let places = Arc::new(Semaphore::new(desk.sockets.most_clients));
-    let (shared, signal) = (desk.clone(), desk.stopping.clone());
+    let most = desk.sockets.most_clients;
+    let (places, connections) = (Arc::new(Semaphore::new(most)), Rc::new(Connections::default()));
+    let shared = desk.clone();
     let service = HttpService::build()
         .keep_alive(KeepAlive::Os)
         .client_request_timeout(Duration::ZERO)
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(move || {
-            let mut signal = signal.clone();
-            async move {
-                let _ = signal.wait_for(|s| *s == Stopping::Closing).await;
-            }
+        .on_connect_ext(|stream: &ClientStream, data| {
+            data.insert(stream.usage.clone());
         })
         .finish(fn_service(move |request: Request| {
             let desk = shared.clone();
@@ -74,36 +73,51 @@
         }))
         .new_service(())
         .await;
-    let Ok(service) = service.map(Rc::new) else {
+    let Ok(service) = service else {
         return log!("the server of clients could not be made");
     };
     let accept = async {
         loop {
-            // Accepting pauses before descriptors run out; the rest waits in the listener's backlog.
-            let Ok(place) = places.clone().acquire_owned().await else { return };
-            match listener.accept().await {
-                Ok((stream, peer)) => {
-                    let _ = stream.set_nodelay(true);
-                    let connection = service.call((stream, Protocol::Http1, Some(peer)));
-                    actix_rt::spawn(async move {
-                        // What ends a connection concerns its client alone.
-                        let _ = connection.await;
-                        drop(place);
-                    });
-                }
+            let (stream, peer) = match listener.accept().await {
+                Ok(accepted) => accepted,
                 Err(error) => {
                     log!("accepting: {error}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
                 }
+            };
+            let _ = stream.set_nodelay(true);
+            // With no place left the next ones wait in the listener's backlog.
+            if places.available_permits() == 0 {
+                connections.make_room(desk.sockets.longest);
             }
+            let Ok(place) = places.clone().acquire_owned().await else { return };
+            let stream = ClientStream::new(stream);
+            let number = connections.add(stream.usage.clone());
+            let connection = service.call((stream, Protocol::Http1, Some(peer)));
+            let connections = connections.clone();
+            actix_rt::spawn(async move {
+                // What ends a connection concerns its client alone.
+                let _ = connection.await;
+                connections.remove(number);
+                drop(place);
+            });
         }
     };
+    let mut stopping = desk.stopping.clone();
+    let close_unused = async {
+        let _ = stopping.wait_for(|s| *s == Stopping::Closing).await;
+        connections.close_unused();
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
         () = accept => {}
+        () = close_unused => {}
         () = closed.notified() => {}
     }
     drop(listener);
-    let _ = places.acquire_many(desk.sockets.most_clients as u32).await;
+    connections.close_unused();
+    let _ = places.acquire_many(most as u32).await;
 }
 
 async fn handle(mut request: Request, desk: &Desk) -> Response<BoxBody> {
@@ -115,6 +129,9 @@
             Err(unusable) => plain(unusable.status, &unusable.why),
         },
     };
+    if let Some(usage) = request.conn_data::<Rc<Usage>>() {
+        usage.answered();
+    }
     if desk.stops() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
--- a/crates/lockusher-mixer/src/transport/discovery.rs
+++ b/crates/lockusher-mixer/src/transport/discovery.rs
@@ -1,7 +1,7 @@
 //! The watch on discovery.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::{Client, Connector};
 use lockusher::interface::Span;
@@ -16,6 +16,8 @@
 
 /// A watch goes on if the next call comes within this of the last answer.
 const WITHIN: Duration = Duration::from_millis(200);
+/// One that answers at once with nothing is not asked faster than this.
+const PACE: Duration = Duration::from_millis(100);
 /// How long after its wait a call's answer may still come.
 const LATE: Duration = Duration::from_secs(2);
 
@@ -38,29 +40,37 @@
             asked.notified().await;
         }
         loop {
-            match call(&client, address, &names, from, sockets.hold, hold).await {
+            let began = Instant::now();
+            let told = match call(&client, address, &names, from, sockets.hold, hold).await {
+                Ok(list) if list.complete || from.is_some_and(|from| list.index >= from) => list,
                 Ok(list) => {
                     // A version that goes back, or a change to a list not held, tells of a restart there.
-                    let follows = list.complete || from.is_some_and(|from| list.index >= from);
-                    from = follows.then_some(list.index);
-                    if !follows {
-                        log!("discovery went back to version {}: asking for the whole list", list.index);
-                    } else if queue.send(Arrival::Told(Some(list))).await.is_err() {
-                        return;
-                    }
+                    log!("discovery went back to version {}: asking for the whole list", list.index);
+                    from = None;
+                    tokio::time::sleep(PACE).await;
+                    continue;
                 }
                 Err(error) => {
                     log!("discovery: {error}");
                     if sockets.on_request {
-                        if queue.send(Arrival::Told(None)).await.is_err() {
-                            return;
-                        }
                         break;
                     }
                     tokio::time::sleep(WITHIN).await;
+                    continue;
                 }
+            };
+            from = Some(told.index);
+            let nothing = told.lines.is_empty();
+            if queue.send(Arrival::Told(Some(told))).await.is_err() {
+                return;
+            }
+            if nothing && began.elapsed() < PACE {
+                tokio::time::sleep(PACE).await;
             }
         }
+        if queue.send(Arrival::Told(None)).await.is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -41,18 +41,17 @@
     /// Where a searcher listens. Connections to where it listened before carry nothing new.
     pub fn at(&mut self, id: &SearcherId, address: SocketAddr) {
         if self.addresses.insert(id.clone(), address).is_some_and(|before| before != address) {
-            for connection in self.connections.remove(id).into_iter().flatten() {
-                connection.retire();
-            }
+            self.connections.get(id).into_iter().flatten().for_each(|c| c.retire());
         }
     }
 
     /// Forgets searchers that are gone; what is out at them still ends.
     pub fn forget(&mut self, gone: impl Fn(&SearcherId) -> bool) {
         self.addresses.retain(|id, _| !gone(id));
-        for (_, connections) in self.connections.extract_if(|id, _| gone(id)) {
+        for (_, connections) in self.connections.iter().filter(|(id, _)| gone(id)) {
             connections.iter().for_each(|c| c.retire());
         }
+        self.connections.retain(|_, connections| connections.iter().any(|c| c.state.get() != State::Over));
     }
 
     pub fn most_parts(&self) -> usize {
@@ -245,8 +244,8 @@
         self.used.set(Instant::now());
         let (reader, writer) = stream.split();
         let ended = tokio::select! {
-            ended = self.read(FramedRead::new(reader, frame::codec()), queue) => ended,
-            ended = self.write(FramedWrite::new(writer, frame::codec())) => ended,
+            ended = self.read(FramedRead::new(reader, frame::codec(frame::MOST)), queue) => ended,
+            ended = self.write(FramedWrite::new(writer, frame::codec(frame::ANY))) => ended,
             () = self.out_of_use(duration(sockets.idle)) => Ok(()),
         };
         if let Err(error) = ended {
--- /dev/null
+++ b/crates/lockusher-mixer/tests/codecs.rs
@@ -0,0 +1,113 @@
+//! What is read and written, without a socket; and what a faulty configuration is told.
+
+use bytes::{BufMut, BytesMut};
+use lockusher::interface::*;
+use lockusher_mixer::config;
+use lockusher_mixer::protocol::{client, frame};
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio_util::codec::Decoder;
+
+#[rstest]
+fn frames_are_read_wherever_they_are_split() {
+    let rests = [&b"qa1.3 good 17 inflight=7,util=0.61\nvalue\nof two lines"[..], b"o", b"qa1.4 later 0 -\n"];
+    let mut bytes = BytesMut::new();
+    for rest in rests {
+        bytes.put_u32(rest.len() as u32);
+        bytes.put_slice(rest);
+    }
+    for split in 0..=bytes.len() {
+        let (mut codec, mut got) = (frame::codec(frame::MOST), Vec::new());
+        let mut buffer = BytesMut::new();
+        for piece in [&bytes[..split], &bytes[split..]] {
+            buffer.put_slice(piece);
+            while let Some(read) = codec.decode(&mut buffer).expect("sound frames") {
+                got.push(frame::decode(&read).expect("sound frames"));
+            }
+        }
+        let ended = |id, outcome, score, value: &str| {
+            let value = value.to_owned();
+            frame::FromSearcher::Ended(frame::PartEnded { id: PartId::new(id), outcome, score, value })
+        };
+        let wanted = [
+            ended("a1.3", Outcome::Returned, 17, "value\nof two lines"),
+            frame::FromSearcher::Probe(frame::Probe::Health),
+            ended("a1.4", Outcome::Full, 0, ""),
+        ];
+        assert_eq!(got, wanted, "split at {split}");
+    }
+}
+
+#[rstest]
+#[case::nothing(b"")]
+#[case::another_letter(b"x")]
+#[case::no_line(b"qa1.3 good 1 -")]
+#[case::no_such_end(b"qa1.3 fine 1 -\n")]
+#[case::no_id(b"q good 1 -\n")]
+#[case::no_score(b"qa1.3 good much -\n")]
+#[case::no_text(b"qa1.3 good 1 -\n\xff\xfe")]
+fn a_malformed_frame_is_not_read(#[case] frame: &[u8]) {
+    assert_eq!(frame::decode(frame), None);
+}
+
+#[rstest]
+fn a_length_beyond_sense_is_an_error_before_the_bytes_come() {
+    let mut buffer = BytesMut::from(&[0x7f, 0xff, 0xff, 0xff, b'q'][..]);
+    assert!(frame::codec(frame::MOST).decode(&mut buffer).is_err());
+}
+
+#[rstest]
+fn a_call_carries_each_part_with_its_text() {
+    let part = |id: &str, shard, first_step| frame::CallPart {
+        id: PartId::new(id),
+        shard: Shard(shard),
+        wait: Span::from_micros(240_999),
+        first_step,
+        text: "c41e77d0".into(),
+    };
+    let from: std::rc::Rc<[Shard]> = [Shard(3), Shard(5)].into();
+    let parts = [part("q.3", 3, None), part("q.5.r", 5, Some((from, false)))];
+    let wanted = "mq.3 3 d=240 8\nc41e77d0q.5.r 5 d=240,from=3+5,whole=0 8\nc41e77d0";
+    assert_eq!(frame::call(parts.iter()), wanted);
+    assert_eq!(frame::given_up(&parts[0].id), "nq.3");
+}
+
+#[rstest]
+fn a_time_to_come_back_is_told_in_decimal_seconds() {
+    assert_eq!(client::retry_after(Span::from_millis(1_250)), "1.250");
+}
+
+fn configuration() -> Value {
+    json!({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+        "settings": {
+            "balancers": 1, "tick_us": 5000, "localities": ["here"], "locality": "here",
+            "membership_mode": "pushed", "prices": {},
+            "grades": [{ "name": "look", "promise_us": 1, "deadline_us": 2, "effect": "safe", "worth": 1.0 }],
+            "extra": { "cells": 3, "in_a_row": 3, "least_share": [1.0], "need_by_class": [1.0] },
+            "limits": { "max_attempts": 3 },
+            "rules": { "cold_from": 0.2, "ramp_time_us": 9, "fall_multiple": 3.0, "tip_after_us": 1 },
+        },
+    })
+}
+
+#[rstest]
+#[case::as_it_should_be("/name", json!("n2"), "")]
+#[case::no_listen_address("/listen", json!("here:80"), "listen: \"here:80\" is no address with a port")]
+#[case::missing("/discovery", json!(null), "discovery: missing, and LB_DISCOVERY is not set")]
+#[case::seed("/seed", json!("xyz"), "seed: \"xyz\" is not 1 to 16 hexadecimal digits")]
+#[case::a_word_for_a_number("/settings/rules/cold_from", json!("a"), "settings.rules.cold_from: invalid type")]
+#[case::no_such_effect("/settings/grades/0/effect", json!("odd"), "settings.grades[0].effect: unknown variant")]
+#[case::too_few_sockets("/limits", json!({ "sockets": 10 }), "limits.sockets: 10 is less than 64")]
+#[case::no_calls("/settings/limits/max_streams", json!(0), "settings.limits.max_streams: must not be 0")]
+#[case::too_short_a_list("/settings/extra/least_share", json!([]), "extra.least_share has no entry for class 0")]
+#[case::no_cells("/settings/extra/cells", json!(0), "settings.extra.cells: must not be 0")]
+#[case::a_list_that_is_none("/known", json!({ "index": -1 }), "known.index: invalid value")]
+fn a_message_names_the_faulty_key(#[case] key: &str, #[case] value: Value, #[case] says: &str) {
+    let mut text = configuration();
+    let (parent, last) = key.rsplit_once('/').expect("a key");
+    text.pointer_mut(parent).expect("its parent")[last.parse::<usize>().map_or(last, |_| last)] = value;
+    let said =
+        config::parse(&text.to_string(), |_| None).map_or_else(|e| format!("{e:#}"), |_| String::new());
+    assert!(said.contains(says) && said.is_empty() == says.is_empty(), "{said}");
+}
--- /dev/null
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -0,0 +1,324 @@
+//! The mixer as its clients, searchers and discovery meet it.
+
+mod stand_in;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use stand_in::*;
+
+fn values(id: &str, shards: &[u64]) -> Vec<(u64, String)> {
+    shards.iter().map(|s| (*s, format!("v{id}.{s}"))).collect()
+}
+
+#[rstest]
+fn a_calm_multiget_is_answered_whole_with_its_text_unchanged() {
+    let world = World::start(Setup::default());
+    let answer = world.client().ask("q1", &[3, 9, 4]);
+    assert_eq!((answer.status, answer.values()), (200, values("q1", &[3, 9, 4])));
+    assert!(answer.body.contains("\"total\":true"), "{answer:?}");
+    let sends = world.sends("q1");
+    assert_eq!(sends.len(), 3);
+    assert!(sends.iter().all(|(_, p)| p.text == "c41e77d0" && p.list.starts_with("d=")), "{sends:?}");
+    // Many more on one connection: it is kept, as are those to searchers.
+    let mut client = world.client();
+    for i in 0..20 {
+        assert_eq!(client.ask(&format!("m{i}"), &[i, i + 1]).status, 200);
+    }
+    assert!(world.searchers.iter().all(|s| s.log().opened <= 2));
+    assert!(world.searchers.iter().any(|s| s.log().probes == ["ogood", "p-"]), "probes are answered");
+}
+
+/// Portions come rounded: three of 0.333333 once stayed under the least share, and all were pushed back.
+#[rstest]
+fn rounded_portions_make_a_whole() {
+    let world = World::start(Setup::default());
+    let body = r#"{"ranges":[{"range":1,"portion":0.333333},{"range":2,"portion":0.333333},
+        {"range":3,"portion":0.333333}],"predicate":"x"}"#;
+    let mut client = world.client();
+    client.write(&request("q1", body));
+    assert_eq!(client.read().expect("an answer").values(), values("q1", &[1, 2, 3]));
+}
+
+#[rstest]
+fn a_body_may_come_in_chunks_and_byte_by_byte() {
+    let world = World::start(Setup::default());
+    let (text, mut client) = (body(&[5, 6]), world.client());
+    let (first, second) = text.split_at(text.len() / 2);
+    let chunks = format!("{:x}\r\n{first}\r\n{:x}\r\n{second}\r\n0\r\n\r\n", first.len(), second.len());
+    let whole = format!("{}Transfer-Encoding: chunked\r\n\r\n{chunks}", head("q1", "4000000u"));
+    for byte in whole.as_bytes() {
+        client.write(&[*byte]);
+    }
+    assert_eq!(client.read().expect("an answer").values(), values("q1", &[5, 6]));
+    assert_eq!(client.ask("q2", &[1]).status, 200, "the connection goes on");
+}
+
+#[rstest]
+fn the_second_step_goes_to_the_highest_scores_and_names_who_was_in() {
+    let world = World::start(Setup { second_step: 2, ..Setup::default() });
+    let answer = world.client().ask("q1", &[9, 3, 5, 7]);
+    // Scores fall with the shard.
+    let mut got = answer.values();
+    got.sort();
+    assert_eq!(got, [(3, "vq1.3.r".to_owned()), (5, "vq1.5.r".to_owned())]);
+    let second: Vec<_> = world.sends("q1").into_iter().filter(|(_, p)| p.id.ends_with(".r")).collect();
+    assert_eq!(second.len(), 2);
+    for (_, part) in second {
+        let words: Vec<&str> = part.list.split(',').collect();
+        let mut from: Vec<&str> = words[1].trim_start_matches("from=").split('+').collect();
+        from.sort();
+        assert_eq!((from, words[2]), (vec!["3", "5", "7", "9"], "whole=1"));
+    }
+}
+
+#[rstest]
+#[case::error(Act::Bad)]
+#[case::turned_away(Act::Later)]
+#[case::reset(Act::Break)]
+#[case::silence(Act::Silent)]
+#[case::a_frame_that_cannot_be_read(Act::Garbage)]
+#[case::a_frame_of_absurd_length(Act::Absurd)]
+#[case::told_that_a_frame_is_no_use(Act::Unusable)]
+fn a_part_that_fails_at_one_searcher_is_served_by_another(#[case] act: Act) {
+    let world = World::start(Setup::default());
+    // The first searcher that any part comes to fails it; the others serve.
+    let first = std::sync::Arc::new(AtomicUsize::new(0));
+    world.all_do(move |_| if first.fetch_add(1, Ordering::SeqCst) == 0 { act } else { Act::Good });
+    let answer = world.client().ask("q1", &[3]);
+    assert_eq!((answer.status, answer.values()), (200, values("q1", &[3])));
+    let sends = world.sends("q1");
+    assert!(sends.len() == 2 && sends[0].0 != sends[1].0, "{sends:?}");
+}
+
+#[rstest]
+#[case::turned_away_never_ran(Act::Later, true)]
+#[case::an_error_may_have_run(Act::Bad, false)]
+#[case::a_reset_may_have_run(Act::Break, false)]
+fn a_non_retriable_part_is_sent_again_only_if_it_never_ran(#[case] act: Act, #[case] again: bool) {
+    let world = World::start(Setup { effect: "unsafe", ..Setup::default() });
+    let first = std::sync::Arc::new(AtomicUsize::new(0));
+    world.all_do(move |_| if first.fetch_add(1, Ordering::SeqCst) == 0 { act } else { Act::Good });
+    let answer = world.client().ask("q1", &[3]);
+    let sends = world.sends("q1").len();
+    // What may have run is neither sent again nor pushed back: it fails, and that is no 429 or 503.
+    assert_eq!((answer.status, sends), if again { (200, 2) } else { (500, 1) });
+}
+
+/// What was never written is known not to have run, even for a non-retriable part.
+#[rstest]
+fn a_refused_connection_never_ran() {
+    let world = World::start(Setup { effect: "unsafe", searchers: 1, ..Setup::default() });
+    // A port where nobody listens stands for two of the three.
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("one");
+    let dead = |name: &str, group| {
+        let mut line = line(&world.searchers[0], group, "active");
+        (line["name"], line["address"]) = (name.into(), nobody.to_string().into());
+        line
+    };
+    let lines = vec![line(&world.searchers[0], 0, "active"), dead("x", 1), dead("y", 2)];
+    world.discovery.tell(2, true, lines);
+    world.discovery.told(2);
+    let mut client = world.client();
+    for i in 0..8 {
+        let answer = client.ask(&format!("q{i}"), &[i]);
+        assert!(answer.status == 200 || answer.status == 503, "{answer:?}");
+    }
+}
+
+#[rstest]
+fn a_second_answer_of_a_part_counts_for_nothing() {
+    let world = World::start(Setup::default());
+    world.all_do(|_| Act::Twice);
+    let mut client = world.client();
+    for i in 0..5 {
+        let id = format!("q{i}");
+        assert_eq!(client.ask(&id, &[1, 2]).values(), values(&id, &[1, 2]));
+    }
+}
+
+#[rstest]
+fn parts_for_one_searcher_share_a_call() {
+    let world = World::start(Setup { searchers: 1, most_parts: 3, ..Setup::default() });
+    let answer = world.client().ask("q1", &[1, 2, 3, 4, 5]);
+    assert_eq!(answer.values(), values("q1", &[1, 2, 3, 4, 5]));
+}
+
+#[rstest]
+fn parts_of_a_client_that_went_away_are_given_up() {
+    let world = World::start(Setup::default());
+    world.all_do(|_| Act::Silent);
+    let mut client = world.client();
+    client.write(&request("q1", &body(&[3])));
+    world.until(|| !world.sends("q1").is_empty());
+    drop(client);
+    world.until(|| world.searchers.iter().any(|s| s.log().given_up == ["q1.3"]));
+    // Its id is free again, and the mixer goes on.
+    world.all_do(|_| Act::Good);
+    assert_eq!(world.client().ask("q1", &[3]).status, 200);
+}
+
+#[rstest]
+fn an_id_in_hand_is_not_taken_twice() {
+    let world = World::start(Setup::default());
+    world.all_do(|_| Act::Silent);
+    let mut first = world.client();
+    first.write(&request("q1", &body(&[3])));
+    world.until(|| !world.sends("q1").is_empty());
+    assert_eq!(world.client().ask("q1", &[3]).status, 409);
+    world.all_do(|_| Act::Good);
+    assert_eq!(first.read().expect("an answer").values(), values("q1", &[3]));
+}
+
+#[rstest]
+#[case::draining("leaving")]
+#[case::gone("left")]
+fn nothing_new_goes_to_a_searcher_that_leaves(#[case] status: &str) {
+    let world = World::start(Setup::default());
+    world.discovery.tell(2, false, vec![line(&world.searchers[0], 0, status)]);
+    world.discovery.told(2);
+    let before = world.searchers[0].log().parts.len();
+    let mut client = world.client();
+    for i in 0..20 {
+        assert_eq!(client.ask(&format!("q{i}"), &[i]).status, 200);
+    }
+    assert_eq!(world.searchers[0].log().parts.len(), before);
+}
+
+#[rstest]
+#[case::errors(Says::Errors)]
+#[case::nonsense(Says::Nonsense)]
+#[case::silence(Says::Nothing)]
+fn the_last_list_serves_while_discovery_is_down(#[case] says: Says) {
+    let world = World::start(Setup::default());
+    world.discovery.says(says);
+    assert_eq!(world.client().ask("q1", &[1, 2]).status, 200);
+    // Back, its versions begin anew: the whole list counts, one searcher is missing from it.
+    let left: Vec<_> = (1..3).map(|i| line(&world.searchers[i], i, "active")).collect();
+    world.discovery.tell(0, true, left);
+    world.discovery.says(Says::Lists);
+    world.discovery.told(0);
+    let before = world.searchers[0].log().parts.len();
+    for i in 0..10 {
+        assert_eq!(world.client().ask(&format!("r{i}"), &[i]).status, 200);
+    }
+    assert_eq!(world.searchers[0].log().parts.len(), before);
+}
+
+#[rstest]
+fn a_searcher_that_moves_is_found_at_its_new_address() {
+    let world = World::start(Setup { searchers: 1, ..Setup::default() });
+    assert_eq!(world.client().ask("q1", &[1]).status, 200);
+    let moved = Searcher::start("s0");
+    world.discovery.tell(2, false, vec![line(&moved, 0, "active")]);
+    world.discovery.told(2);
+    assert_eq!(world.client().ask("q2", &[1]).status, 200);
+    assert_eq!(moved.log().parts.len(), 1);
+    world.searchers[0].until(|log| log.closed == log.opened);
+}
+
+#[rstest]
+fn without_a_remembered_list_it_serves_once_discovery_has_told_one() {
+    let world = World::start(Setup { knows: false, ..Setup::default() });
+    assert_eq!(world.client().ask("q1", &[1, 2]).status, 200);
+}
+
+#[rstest]
+fn an_unused_connection_is_closed_before_its_searcher_would() {
+    let world = World::start(Setup { searchers: 1, idle_ms: 600, ..Setup::default() });
+    assert_eq!(world.client().ask("q1", &[1]).status, 200);
+    world.searchers[0].until(|log| log.opened == 1 && log.closed == 1);
+    assert_eq!(world.client().ask("q2", &[1]).status, 200);
+    assert_eq!(world.searchers[0].log().opened, 2);
+}
+
+#[rstest]
+#[case::no_json(request("q1", "{"), 400)]
+#[case::no_parts(request("q1", &body(&[])), 400)]
+#[case::a_part_named_twice(request("q1", &body(&[1, 1])), 400)]
+#[case::a_shard_out_of_range(request("q1", &body(&[24])), 400)]
+#[case::portions_that_are_no_whole(request("q1", r#"{"ranges":[{"range":1,"portion":0.5}]}"#), 400)]
+#[case::an_unknown_path(b"POST /other HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".to_vec(), 404)]
+#[case::another_method(b"GET /look HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(), 405)]
+#[case::an_op_type_unlike_the_path(b"POST /look HTTP/1.1\r\nHost: a\r\nReq-Kind: a\r\nContent-Length: 0\r\n\r\n".to_vec(), 400)]
+#[case::no_headers(b"POST /look HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".to_vec(), 400)]
+#[case::an_unknown_tenant(replaced("acme", "nobody"), 400)]
+#[case::a_deadline_without_a_unit(replaced("4000m", "4000"), 400)]
+#[case::a_deadline_beyond_counting(replaced("4000m", "99999999999999999999m"), 400)]
+#[case::an_id_that_breaks_frames(replaced("q1", "q 1"), 400)]
+#[case::a_body_too_large(request("q1", &"x".repeat(70_000)), 413)]
+#[case::not_http(b"what is this\r\n\r\n".to_vec(), 400)]
+fn what_cannot_be_used_gets_one_plain_refusal_at_once(#[case] bytes: Vec<u8>, #[case] status: u16) {
+    let mut world = World::start(Setup::default());
+    let mut client = world.client();
+    client.write(&bytes);
+    assert_eq!(client.read().expect("an answer").status, status);
+    assert!(world.sends("q1").is_empty());
+    assert_eq!(world.client().ask("q2", &[1]).status, 200);
+    assert!(world.runs());
+}
+
+fn replaced(what: &str, by: &str) -> Vec<u8> {
+    String::from_utf8(request("q1", &body(&[1]))).expect("text").replace(what, by).into_bytes()
+}
+
+#[rstest]
+fn more_than_may_be_in_hand_is_pushed_back_at_once() {
+    let world = World::start(Setup { most_open: 5, ..Setup::default() });
+    world.all_do(|_| Act::Silent);
+    let mut first = world.client();
+    first.write(&request("q1", &body(&[1, 2])));
+    world.until(|| world.sends("q1").len() >= 2);
+    assert_eq!(world.client().ask("q2", &[1, 2]).status, 503);
+    world.all_do(|_| Act::Good);
+    assert_eq!(first.read().expect("an answer").status, 200);
+    assert_eq!(world.client().ask("q3", &[1, 2]).status, 200, "there is room again");
+}
+
+/// Connections that never ask for anything must not shut others out, nor take the descriptors that
+/// searchers and discovery need.
+#[rstest]
+fn a_flood_of_idle_connections_leaves_room_for_those_that_ask() {
+    let mut world = World::start(Setup { sockets: 80, ..Setup::default() });
+    let mut used = world.client();
+    assert_eq!(used.ask("q0", &[1]).status, 200);
+    let _flood: Vec<Client> = (0..300).map(|_| world.client()).collect();
+    assert_eq!(world.client().ask("q1", &[1, 2, 3]).status, 200);
+    assert_eq!(used.ask("q2", &[1]).status, 200, "one that was used is kept before those that never were");
+    assert!(world.runs());
+}
+
+#[rstest]
+fn told_to_stop_it_answers_what_it_has_and_ends_well() {
+    let mut world = World::start(Setup::default());
+    world.all_do(|_| Act::Silent);
+    let (mut idle, mut busy, mut used) = (world.client(), world.client(), world.client());
+    busy.write(&request("q1", &body(&[3])));
+    world.until(|| !world.sends("q1").is_empty());
+    world.terminate();
+    let told = Instant::now();
+    world.until(|| world.get("/up").status != 200);
+    // New connections and those that are there are served, and close with their answers.
+    world.all_do(|_| Act::Good);
+    for (id, client) in [("q2", &mut world.client()), ("q3", &mut used)] {
+        let answer = client.ask(id, &[1]);
+        assert_eq!((answer.status, answer.headers["connection"].as_str()), (200, "close"));
+        assert!(client.read().is_none());
+    }
+    assert!(idle.read().is_none(), "an unused connection is closed");
+    assert!(told.elapsed() < Duration::from_secs(5));
+    assert_eq!(busy.read().expect("an answer").status, 200);
+    assert!(world.ended().success());
+}
+
+#[rstest]
+fn a_client_that_never_ends_its_request_does_not_hold_up_the_end() {
+    let mut world = World::start(Setup::default());
+    let mut slow = world.client();
+    slow.write(b"POST /look HTTP/1.1\r\nHost: a\r\nReq-");
+    thread::sleep(Duration::from_millis(50));
+    world.terminate();
+    assert!(world.ended().success());
+}
