--- a/crates/lockusher-mixer/src/main.rs
+++ b/crates/lockusher-mixer/src/main.rs
@@ -85,7 +85,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("lockusher: {error:#}");
+            log!("{error:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -37,7 +38,7 @@
 type Begun = (u64, NewPart);
 
 pub struct Desk {
-    pub searchers: Searchers,
+    searchers: Searchers,
     /// Parts of the second step, by op type.
     second_steps: Vec<usize>,
     asked: Rc<Notify>,
@@ -106,6 +107,28 @@
         }
     }
 
+    /// A line of the list: nothing more goes to a searcher that drains or is gone.
+    pub fn listed(&mut self, line: &Listed, address: SocketAddr) {
+        let unsent = match line.state {
+            SearcherState::Up => self.searchers.at(&line.id, address),
+            SearcherState::Draining | SearcherState::Gone => self.searchers.leave(&line.id),
+        };
+        self.ended.extend(unsent.into_iter().map(|(part, nth)| (part, nth, Outcome::NoConnection)));
+    }
+
+    /// A complete list lacks these.
+    pub fn missing(&mut self, missing: impl Fn(&SearcherId) -> bool) {
+        let gone: Vec<SearcherId> = self.searchers.known().filter(|id| missing(id)).cloned().collect();
+        for id in gone {
+            let unsent = self.searchers.leave(&id);
+            self.ended.extend(unsent.into_iter().map(|(part, nth)| (part, nth, Outcome::NoConnection)));
+        }
+    }
+
+    pub fn knows_any(&self) -> bool {
+        self.searchers.known().next().is_some()
+    }
+
     /// A send has ended; tells when it began, unless it had ended before.
     pub fn closed(&mut self, part: &PartId, nth: usize) -> Option<Time> {
         let (_, at) = self.out.remove(&(part.clone(), nth))?;
@@ -183,6 +206,19 @@
         Some(open)
     }
 
+    /// What has not left by the final answer must not leave after it.
+    fn recall(&mut self, multiget: &Multiget) {
+        for part in &multiget.parts {
+            for (nth, send) in part.sends.iter().enumerate().filter(|(_, s)| s.outcome.is_none()) {
+                let waiting =
+                    self.departing.extract_if(.., |(_, (n, p))| p.id == part.id && *n == nth).count();
+                if waiting > 0 || self.searchers.recall(&send.to, &part.id, nth) {
+                    self.ended.push((part.id.clone(), nth, Outcome::Moot));
+                }
+            }
+        }
+    }
+
     /// The second step goes to the highest scores among the shards that are in.
     fn second_step(&mut self, multiget: &Multiget, whole: bool, most: usize) {
         let Some(open) = self.open.get_mut(&multiget.id) else { return };
@@ -230,6 +266,7 @@
             let most = self.second_steps[multiget.op_type.0];
             return self.second_step(multiget, whole, most);
         }
+        self.recall(multiget);
         let open = self.close(&multiget.id);
         must_hold!(open.is_some(), "a multiget gets one final answer");
         let Some(open) = open else { return };
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod desk;
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -14,10 +15,10 @@
 
 use crate::clock::{Clock, duration};
 use crate::config::{Config, Sockets};
+use crate::must_hold;
 use crate::protocol::client::{Request, Unusable};
 use crate::protocol::discovery::List;
 use crate::transport::searchers::Searchers;
-use crate::{log, must_hold};
 use desk::Desk;
 
 /// What comes to the router.
@@ -191,16 +192,15 @@
     }
 
     fn told(&mut self, now: Time, list: List, kind: fn(Vec<Listed>) -> News) {
-        let gone = |state| state == SearcherState::Gone;
-        for (line, address) in list.lines.iter().filter(|(line, _)| !gone(line.state)) {
-            self.desk.searchers.at(&line.id, *address);
+        if list.complete {
+            let named: HashSet<&SearcherId> = list.lines.iter().map(|(line, _)| &line.id).collect();
+            self.desk.missing(|id| !named.contains(id));
+        }
+        for (line, address) in &list.lines {
+            self.desk.listed(line, *address);
         }
-        self.desk.searchers.forget(|id| match list.lines.iter().find(|(line, _)| line.id == *id) {
-            Some((line, _)) => gone(line.state),
-            None => list.complete,
-        });
         self.host.news(now, kind(list.lines.into_iter().map(|(line, _)| line).collect()));
-        self.can_serve.set(self.can_serve.get() || self.desk.searchers.known() > 0);
+        self.can_serve.set(self.can_serve.get() || self.desk.knows_any());
     }
 
     fn client_left(&mut self, id: &MultigetId) {
@@ -240,9 +240,3 @@
         next.into_iter().chain(self.desk.next_time_out(now)).min()
     }
 }
-
-impl Drop for Router {
-    fn drop(&mut self) {
-        log!("the router has ended with {} multigets open", self.desk.multigets());
-    }
-}
--- a/crates/lockusher-mixer/src/transport/client_stream.rs
+++ b/crates/lockusher-mixer/src/transport/client_stream.rs
@@ -135,15 +135,18 @@
     }
 
     /// Makes room for another: closes one between two requests, first those that never had an answer, of
-    /// these the longest unused; or one whose request has been coming in for longer than any client waits.
-    pub fn make_room(&self, longest: Duration) {
+    /// these the longest unused; or one stuck in a request for longer than any client waits. Tells whether
+    /// there was one.
+    pub fn make_room(&self, longest: Duration) -> bool {
         let open = self.open.borrow();
-        let closable = open.values().filter(|u| {
-            let stuck = u.began.get().is_some_and(|at| at.elapsed() > longest);
-            u.closing.get() == Closing::No && (u.unused() || stuck)
+        let closable = open.values().filter(|usage| {
+            let stuck = usage.began.get().unwrap_or(usage.used.get()).elapsed() > longest;
+            usage.closing.get() == Closing::No && (usage.unused() || stuck)
         });
-        if let Some(usage) = closable.min_by_key(|u| (u.unused() && u.served.get(), u.used.get())) {
-            usage.close(if usage.unused() { Closing::WhenUnused } else { Closing::Now });
-        }
+        let Some(usage) = closable.min_by_key(|u| (u.unused() && u.served.get(), u.used.get())) else {
+            return false;
+        };
+        usage.close(if usage.unused() { Closing::WhenUnused } else { Closing::Now });
+        true
     }
 }
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -27,6 +27,9 @@
 use crate::routing::{Arrival, Asked, Given};
 use crate::transport::client_stream::{ClientStream, Connections, Usage};
 
+/// How long accepting pauses when it can't go on, so that it neither spins nor keeps anyone waiting.
+const PAUSE: Duration = Duration::from_millis(10);
+
 /// How far the program has come in stopping.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub enum Stopping {
@@ -82,14 +85,14 @@
                 Ok(accepted) => accepted,
                 Err(error) => {
                     log!("accepting: {error}");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    tokio::time::sleep(PAUSE).await;
                     continue;
                 }
             };
             let _ = stream.set_nodelay(true);
             // With no place left the next ones wait in the listener's backlog.
-            if places.available_permits() == 0 {
-                connections.make_room(desk.sockets.longest);
+            while places.available_permits() == 0 && !connections.make_room(desk.sockets.longest) {
+                tokio::time::sleep(PAUSE).await;
             }
             let Ok(place) = places.clone().acquire_owned().await else { return };
             let stream = ClientStream::new(stream);
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -22,6 +22,8 @@
 
 /// A part with the number of its send.
 pub type Sent = (usize, CallPart);
+/// One that had not left.
+pub type Unsent = (PartId, usize);
 
 /// All connections to searchers, by searcher.
 pub struct Searchers {
@@ -39,33 +41,41 @@
     }
 
     /// Where a searcher listens. Connections to where it listened before carry nothing new.
-    pub fn at(&mut self, id: &SearcherId, address: SocketAddr) {
-        if self.addresses.insert(id.clone(), address).is_some_and(|before| before != address) {
-            self.connections.get(id).into_iter().flatten().for_each(|c| c.retire());
+    pub fn at(&mut self, id: &SearcherId, address: SocketAddr) -> Vec<Unsent> {
+        match self.addresses.insert(id.clone(), address) {
+            Some(before) if before != address => self.retire(id),
+            _ => Vec::new(),
         }
     }
 
-    /// Forgets searchers that are gone; what is out at them still ends.
-    pub fn forget(&mut self, gone: impl Fn(&SearcherId) -> bool) {
-        self.addresses.retain(|id, _| !gone(id));
-        for (_, connections) in self.connections.iter().filter(|(id, _)| gone(id)) {
-            connections.iter().for_each(|c| c.retire());
-        }
-        self.connections.retain(|_, connections| connections.iter().any(|c| c.state.get() != State::Over));
+    /// Nothing new goes to a searcher: hands back what had not left, lets the rest end.
+    pub fn leave(&mut self, id: &SearcherId) -> Vec<Unsent> {
+        self.addresses.remove(id);
+        self.retire(id)
     }
 
-    pub fn most_parts(&self) -> usize {
-        self.sockets.most_parts
+    /// All that have an address.
+    pub fn known(&self) -> impl Iterator<Item = &SearcherId> {
+        self.addresses.keys()
     }
 
-    pub fn known(&self) -> usize {
-        self.addresses.len()
+    fn retire(&mut self, id: &SearcherId) -> Vec<Unsent> {
+        self.connections.retain(|_, connections| {
+            connections.retain(|c| c.state.get() != State::Over);
+            !connections.is_empty()
+        });
+        self.connections.get(id).into_iter().flatten().flat_map(|c| c.retire()).collect()
+    }
+
+    pub fn most_parts(&self) -> usize {
+        self.sockets.most_parts
     }
 
     /// Closes what unused connections there are to a searcher.
     pub fn close_unused(&mut self, to: &SearcherId) {
         for connection in self.connections.get(to).into_iter().flatten().filter(|c| c.unused()) {
-            connection.retire();
+            let unsent = connection.retire();
+            must_hold!(unsent.is_empty(), "nothing waits on an unused connection");
         }
     }
 
@@ -96,13 +106,24 @@
 
     /// Gives a send up, wherever it is.
     pub fn give_up(&mut self, to: &SearcherId, part: &PartId, nth: usize) {
-        let connections = self.connections.get(to).into_iter().flatten();
-        for connection in connections {
-            if connection.out.borrow().get(part).is_some_and(|out| out.nth == nth) {
-                connection.give_up(part);
-                return;
-            }
+        if let Some(connection) = self.carrier(to, part, nth) {
+            connection.give_up(part);
+        }
+    }
+
+    /// Takes back a send that has not left whole; tells whether that was so.
+    pub fn recall(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> bool {
+        let Some(connection) = self.carrier(to, part, nth) else { return false };
+        let unsent = connection.out.borrow().get(part).is_some_and(|out| out.way != Way::Written);
+        if unsent {
+            connection.give_up(part);
         }
+        unsent
+    }
+
+    fn carrier(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<&Rc<Connection>> {
+        let mut connections = self.connections.get(to).into_iter().flatten();
+        connections.find(|c| c.out.borrow().get(part).is_some_and(|out| out.nth == nth))
     }
 }
 
@@ -125,8 +146,17 @@
 struct Out {
     nth: usize,
     call: u64,
-    /// The last byte of its frame has been written.
-    written: bool,
+    way: Way,
+}
+
+/// How far a part's frame has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Waiting,
+    /// Some of it may have been written.
+    Writing,
+    /// Its last byte has been written.
+    Written,
 }
 
 struct Connection {
@@ -140,6 +170,7 @@
     used: Cell<Instant>,
     wake: Notify,
     retired: Notify,
+    broken_off: Notify,
 }
 
 impl Connection {
@@ -159,6 +190,7 @@
             used: Cell::new(Instant::now()),
             wake: Notify::new(),
             retired: Notify::new(),
+            broken_off: Notify::new(),
         });
         open.set(open.get() + 1);
         let (this, queue, open) = (connection.clone(), queue.clone(), open.clone());
@@ -174,11 +206,24 @@
         self.out.borrow().is_empty()
     }
 
-    fn retire(&self) {
-        if self.state.get() != State::Over {
-            self.state.set(State::Retired);
-            self.retired.notify_one();
+    /// Takes nothing new; hands back what had not begun to leave.
+    fn retire(&self) -> Vec<Unsent> {
+        if self.state.get() == State::Over {
+            return Vec::new();
         }
+        self.state.set(State::Retired);
+        let (mut unsent, mut outbox) = (Vec::new(), self.outbox.borrow_mut());
+        outbox.retain(|outgoing| {
+            let Outgoing::Call(parts) = outgoing else { return true };
+            unsent.extend(parts.iter().map(|(nth, part)| (part.id.clone(), *nth)));
+            false
+        });
+        drop(outbox);
+        for (part, _) in &unsent {
+            self.end(part);
+        }
+        self.retired.notify_one();
+        unsent
     }
 
     fn take(&self, call: Vec<Sent>) {
@@ -188,7 +233,7 @@
             let before = self
                 .out
                 .borrow_mut()
-                .insert(part.id.clone(), Out { nth: *nth, call: number, written: false });
+                .insert(part.id.clone(), Out { nth: *nth, call: number, way: Way::Waiting });
             must_hold!(before.is_none(), "a part is out once on a connection");
         }
         self.outbox.borrow_mut().push_back(Outgoing::Call(call));
@@ -222,9 +267,14 @@
         }
         outbox.retain(|o| !matches!(o, Outgoing::Call(parts) if parts.is_empty()));
         drop(outbox);
-        if self.end(part).is_some_and(|out| out.written) {
-            self.outbox.borrow_mut().push_back(Outgoing::GivenUp(part.clone()));
-            self.wake.notify_one();
+        match self.end(part).map(|out| out.way) {
+            Some(Way::Written) => {
+                self.outbox.borrow_mut().push_back(Outgoing::GivenUp(part.clone()));
+                self.wake.notify_one();
+            }
+            // Its frame is stuck half written: it must not arrive after all, so the connection ends.
+            Some(Way::Writing) => self.broken_off.notify_one(),
+            Some(Way::Waiting) | None => {}
         }
     }
 
@@ -243,10 +293,18 @@
         }
         self.used.set(Instant::now());
         let (reader, writer) = stream.split();
+        let read = self.read(FramedRead::new(reader, frame::codec(frame::MOST)), queue);
+        tokio::pin!(read);
         let ended = tokio::select! {
-            ended = self.read(FramedRead::new(reader, frame::codec(frame::MOST)), queue) => ended,
-            ended = self.write(FramedWrite::new(writer, frame::codec(frame::ANY))) => ended,
+            ended = &mut read => ended,
+            ended = self.write(FramedWrite::new(writer, frame::codec(frame::ANY))) => {
+                // Answers that came before the break still count.
+                self.state.set(State::Retired);
+                let _ = tokio::time::timeout(duration(sockets.connect_timeout), &mut read).await;
+                ended
+            }
             () = self.out_of_use(duration(sockets.idle)) => Ok(()),
+            () = self.broken_off.notified() => Err(std::io::Error::other("it takes nothing more")),
         };
         if let Err(error) = ended {
             log!("connection to {} ended: {error}", self.address);
@@ -279,14 +337,15 @@
             };
             match outgoing {
                 Outgoing::Call(parts) => {
-                    frames.send(frame::call(parts.iter().map(|(_, part)| part))).await?;
-                    for (nth, part) in parts {
-                        match self.out.borrow_mut().get_mut(&part.id).filter(|out| out.nth == nth) {
-                            Some(out) => out.written = true,
-                            // Given up as it was being written.
-                            None => self.outbox.borrow_mut().push_back(Outgoing::GivenUp(part.id)),
+                    let now = |way| {
+                        let mut out = self.out.borrow_mut();
+                        for (_, part) in &parts {
+                            out.entry(part.id.clone()).and_modify(|out| out.way = way);
                         }
-                    }
+                    };
+                    now(Way::Writing);
+                    frames.send(frame::call(parts.iter().map(|(_, part)| part))).await?;
+                    now(Way::Written);
                 }
                 Outgoing::GivenUp(part) => frames.send(frame::given_up(&part)).await?,
                 Outgoing::Answer(frame) => frames.send(frame).await?,
@@ -344,7 +403,8 @@
         let parts: Vec<PartId> = self.out.borrow().keys().cloned().collect();
         for part in parts {
             let Some(out) = self.end(&part) else { continue };
-            let outcome = if out.written { Outcome::Broken } else { Outcome::NoConnection };
+            let written = out.way == Way::Written;
+            let outcome = if written { Outcome::Broken } else { Outcome::NoConnection };
             let ended = SendEnded { part, nth: out.nth, outcome, at: Instant::now(), answer: None };
             if queue.send(Arrival::Ended(ended)).await.is_err() {
                 return;
--- a/crates/lockusher-mixer/tests/stand_in/mod.rs
+++ b/crates/lockusher-mixer/tests/stand_in/mod.rs
@@ -48,6 +48,8 @@
     script: Mutex<Arc<Script>>,
     log: Mutex<Log>,
     changed: Condvar,
+    stuck: Mutex<bool>,
+    resumed: Condvar,
 }
 
 #[derive(Default, Clone)]
@@ -74,14 +76,28 @@
     Some((rest[0], rest[1..].to_vec()))
 }
 
+/// A listener whose connections take little that is not read.
+fn little_room() -> std::io::Result<TcpListener> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
+    let _entered = runtime.enter();
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(64 * 1024)?;
+    socket.bind("127.0.0.1:0".parse().expect("an address"))?;
+    let listener = socket.listen(64)?.into_std()?;
+    listener.set_nonblocking(false)?;
+    Ok(listener)
+}
+
 impl Searcher {
     pub fn start(name: &str) -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let listener = little_room().expect("a port");
         let searcher = Arc::new(Searcher {
             name: name.to_owned(),
             address: listener.local_addr().expect("an address"),
             script: Mutex::new(Arc::new(|_| Act::Good)),
             log: Mutex::default(),
+            stuck: Mutex::new(false),
+            resumed: Condvar::new(),
             changed: Condvar::new(),
         });
         let this = searcher.clone();
@@ -102,6 +118,12 @@
         *self.script.lock().unwrap() = Arc::new(script);
     }
 
+    /// Whether it goes on reading.
+    pub fn reads(&self, reads: bool) {
+        *self.stuck.lock().unwrap() = !reads;
+        self.resumed.notify_all();
+    }
+
     fn note(&self, what: impl FnOnce(&mut Log)) {
         what(&mut self.log.lock().unwrap());
         self.changed.notify_all();
@@ -122,7 +144,10 @@
     fn serve(&self, mut stream: TcpStream) {
         // A probe at once: a searcher may ask as well.
         let _ = stream.write_all(&[frame(b'o', b""), frame(b'p', b"")].concat());
-        while let Some((letter, rest)) = read_frame(&mut stream) {
+        loop {
+            let stuck = self.stuck.lock().unwrap();
+            drop(self.resumed.wait_while(stuck, |stuck| *stuck).unwrap());
+            let Some((letter, rest)) = read_frame(&mut stream) else { return };
             match letter {
                 b'm' => {
                     for part in parts(&rest) {
@@ -293,6 +318,7 @@
     pub second_step: usize,
     pub sockets: usize,
     pub most_open: usize,
+    pub most_calls: usize,
     pub most_parts: usize,
     pub idle_ms: u64,
     /// Whether it remembers the list, or has only discovery.
@@ -307,6 +333,7 @@
             second_step: 0,
             sockets: 256,
             most_open: 500,
+            most_calls: 32,
             most_parts: 1,
             idle_ms: 15_000,
             knows: true,
@@ -329,7 +356,7 @@
         },
         "limits": {
             "max_attempts": 4, "parallel_tries": setup.effect == "safe", "may_cancel": true, "retry_after": true,
-            "max_retry_after_us": 2_000_000, "max_open": setup.most_open, "max_streams": 32,
+            "max_retry_after_us": 2_000_000, "max_open": setup.most_open, "max_streams": setup.most_calls,
             "conn_idle_us": setup.idle_ms * 1000, "connect_timeout_us": 250_000,
         },
         "rules": { "cold_from": 0.2, "ramp_time_us": 9_000_000, "fall_multiple": 4.0, "tip_after_us": 1_000_000 },
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use serde_json::json;
 use stand_in::*;
 
 fn values(id: &str, shards: &[u64]) -> Vec<(u64, String)> {
@@ -322,3 +323,25 @@
     world.terminate();
     assert!(world.ended().success());
 }
+
+/// A frame stuck half written must not arrive after its multiget has its final answer: giving it up ends the
+/// connection.
+#[rstest]
+fn a_searcher_that_stops_reading_is_broken_off() {
+    let world = World::start(Setup { searchers: 1, most_calls: 200, ..Setup::default() });
+    let stuck = &world.searchers[0];
+    stuck.reads(false);
+    let ranges: Vec<_> = (0..4).map(|s| json!({ "range": s, "portion": 0.25 })).collect();
+    let body = json!({ "ranges": ranges, "predicate": "x".repeat(60_000) }).to_string();
+    // More than the system holds between two ends.
+    let mut clients: Vec<Client> = (0..50).map(|_| world.client()).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        let head = head(&format!("q{i}"), "1000m");
+        client.write(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()).as_bytes());
+    }
+    for client in &mut clients {
+        assert_eq!(client.read().expect("an answer").status, 503);
+    }
+    stuck.reads(true);
+    stuck.until(|log| log.closed >= 1);
+}
