--- a/crates/lockusher-mixer/tests/stand_in/mod.rs
+++ b/crates/lockusher-mixer/tests/stand_in/mod.rs
@@ -323,6 +323,8 @@
     pub idle_ms: u64,
     /// Whether it remembers the list, or has only discovery.
     pub knows: bool,
+    /// Whether discovery must be asked, and tells nobody else.
+    pub asks: bool,
 }
 
 impl Default for Setup {
@@ -337,6 +339,7 @@
             most_parts: 1,
             idle_ms: 15_000,
             knows: true,
+            asks: false,
         }
     }
 }
@@ -344,7 +347,7 @@
 pub fn settings(setup: &Setup) -> Value {
     json!({
         "balancers": 1, "tick_us": 5000, "localities": ["here"], "locality": "here",
-        "membership_mode": "pushed", "prices": {},
+        "membership_mode": if setup.asks { "on_request" } else { "pushed" }, "prices": {},
         "parties": [{ "name": "acme", "quota_per_s": 1000.0 }],
         "grades": [{
             "name": "look", "promise_us": 300_000, "deadline_us": 5_000_000, "effect": setup.effect,
@@ -359,7 +362,8 @@
             "max_retry_after_us": 2_000_000, "max_open": setup.most_open, "max_streams": setup.most_calls,
             "conn_idle_us": setup.idle_ms * 1000, "connect_timeout_us": 250_000,
         },
-        "rules": { "cold_from": 0.2, "ramp_time_us": 9_000_000, "fall_multiple": 4.0, "tip_after_us": 1_000_000 },
+        "rules": { "cold_from": 0.2, "ramp_time_us": 9_000_000, "fall_multiple": 4.0, "tip_after_us": 1_000_000,
+            "ask_every_us": 2_000_000 },
     })
 }
 
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -208,6 +208,21 @@
     assert_eq!(world.searchers[0].log().parts.len(), before);
 }
 
+/// Where discovery tells only those that ask, a refusal goes to the module, which asks again.
+#[rstest]
+#[case::errors(Says::Errors)]
+#[case::nonsense(Says::Nonsense)]
+fn a_watch_that_was_refused_is_asked_for_again(#[case] says: Says) {
+    let world = World::start(Setup { asks: true, ..Setup::default() });
+    world.discovery.says(says);
+    assert_eq!(world.client().ask("q1", &[1]).status, 200);
+    world.discovery.tell(7, true, vec![line(&world.searchers[1], 1, "active")]);
+    world.discovery.says(Says::Lists);
+    world.discovery.told(7);
+    assert_eq!(world.client().ask("q2", &[1]).status, 200);
+    assert!(world.sends("q2").iter().all(|(to, _)| to == "s1"));
+}
+
 #[rstest]
 fn a_searcher_that_moves_is_found_at_its_new_address() {
     let world = World::start(Setup { searchers: 1, ..Setup::default() });
@@ -221,8 +236,10 @@
 }
 
 #[rstest]
-fn without_a_remembered_list_it_serves_once_discovery_has_told_one() {
-    let world = World::start(Setup { knows: false, ..Setup::default() });
+#[case::told(false)]
+#[case::on_asking(true)]
+fn without_a_remembered_list_it_serves_once_discovery_has_told_one(#[case] asks: bool) {
+    let world = World::start(Setup { knows: false, asks, ..Setup::default() });
     assert_eq!(world.client().ask("q1", &[1, 2]).status, 200);
 }
 
@@ -285,9 +302,11 @@
     let mut world = World::start(Setup { sockets: 80, ..Setup::default() });
     let mut used = world.client();
     assert_eq!(used.ask("q0", &[1]).status, 200);
-    let _flood: Vec<Client> = (0..300).map(|_| world.client()).collect();
+    let mut flood: Vec<Client> = (0..300).map(|_| world.client()).collect();
     assert_eq!(world.client().ask("q1", &[1, 2, 3]).status, 200);
     assert_eq!(used.ask("q2", &[1]).status, 200, "one that was used is kept before those that never were");
+    // Those that were closed for it were told so, and none was answered what it never asked.
+    assert!(flood[0].read().is_none());
     assert!(world.runs());
 }
 
