Room is made under a flood of half requests too

Observed by hand: 900 connections, each with all but the end of a request of 64 KB, and another client got no answer until they went away. Traced with two lines of log: room was asked for once, of a connection that had been accepted but not read yet; it looked unused, then had its request, and accepting waited for it to close for good (make_room and the single acquire in transport/clients.rs). Excluded: the age of half requests (they were never looked at). Now only connections that were read count, new ones are read first, and room is asked for again while none comes.

--- a/crates/lockusher-mixer/src/transport/client_stream.rs
+++ b/crates/lockusher-mixer/src/transport/client_stream.rs
@@ -135,18 +135,17 @@
     }
 
     /// Makes room for another: closes one between two requests, first those that never had an answer, of
-    /// these the longest unused; or one stuck in a request for longer than any client waits. Tells whether
-    /// there was one.
-    pub fn make_room(&self, longest: Duration) -> bool {
+    /// these the longest unused; or one stuck in a request for longer than any client waits.
+    pub fn make_room(&self, longest: Duration) {
         let open = self.open.borrow();
         let closable = open.values().filter(|usage| {
             let stuck = usage.began.get().unwrap_or(usage.used.get()).elapsed() > longest;
-            usage.closing.get() == Closing::No && (usage.unused() || stuck)
+            // One that has not been read yet may hold a request.
+            let waits = usage.reader.borrow().is_some();
+            usage.closing.get() == Closing::No && waits && (usage.unused() || stuck)
         });
-        let Some(usage) = closable.min_by_key(|u| (u.unused() && u.served.get(), u.used.get())) else {
-            return false;
-        };
-        usage.close(if usage.unused() { Closing::WhenUnused } else { Closing::Now });
-        true
+        if let Some(usage) = closable.min_by_key(|u| (u.unused() && u.served.get(), u.used.get())) {
+            usage.close(if usage.unused() { Closing::WhenUnused } else { Closing::Now });
+        }
     }
 }
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -90,11 +90,20 @@
                 }
             };
             let _ = stream.set_nodelay(true);
-            // With no place left the next ones wait in the listener's backlog.
-            while places.available_permits() == 0 && !connections.make_room(desk.sockets.longest) {
-                tokio::time::sleep(PAUSE).await;
-            }
-            let Ok(place) = places.clone().acquire_owned().await else { return };
+            // With no place left the next ones wait in the listener's backlog until one can be closed.
+            let place = loop {
+                if places.available_permits() == 0 {
+                    // Those just accepted are read first, and show what they are.
+                    tokio::task::yield_now().await;
+                    connections.make_room(desk.sockets.longest);
+                }
+                let place = places.clone().acquire_owned();
+                match tokio::time::timeout(PAUSE, place).await {
+                    Ok(Ok(place)) => break place,
+                    Ok(Err(_)) => return,
+                    Err(_) => {}
+                }
+            };
             let stream = ClientStream::new(stream);
             let number = connections.add(stream.usage.clone());
             let connection = service.call((stream, Protocol::Http1, Some(peer)));
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -310,6 +310,20 @@
     assert!(world.runs());
 }
 
+/// Requests that never end take every place; each is closed once no client would still wait for its answer. One
+/// that was accepted but not read yet was once taken for unused, and all waited for it to close.
+#[rstest]
+fn a_flood_of_half_requests_does_not_shut_others_out() {
+    let mut world = World::start(Setup { sockets: 80, ..Setup::default() });
+    let mut flood: Vec<Client> = (0..40).map(|_| world.client()).collect();
+    for (i, client) in flood.iter_mut().enumerate() {
+        client
+            .write(format!("{}Content-Length: 60000\r\n\r\nhalf", head(&format!("f{i}"), "900m")).as_bytes());
+    }
+    assert_eq!(world.client().ask("q1", &[1, 2, 3]).status, 200);
+    assert!(world.runs());
+}
+
 #[rstest]
 fn told_to_stop_it_answers_what_it_has_and_ends_well() {
     let mut world = World::start(Setup::default());
