A story of what is taken back before it has left

Guards the outbox: a copy that waits for its connection, recalled at its multiget's final answer or when its searcher drains, never reaches the searcher.

--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -6,6 +6,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use lockusher::interface::*;
+use lockusher_mixer::config;
+use lockusher_mixer::protocol::frame::CallPart;
+use lockusher_mixer::routing::Arrival;
+use lockusher_mixer::transport::searchers::Searchers;
 use rstest::rstest;
 use serde_json::json;
 use stand_in::*;
@@ -378,3 +383,37 @@
     stuck.reads(true);
     stuck.until(|log| log.closed >= 1);
 }
+
+/// A copy that waits for its connection must not leave once another's answer has ended its multiget, nor once
+/// the list says that its searcher drains.
+#[rstest]
+fn what_is_taken_back_before_it_has_left_never_arrives() {
+    let searcher = Searcher::start("s0");
+    let text = json!({ "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+        "settings": settings(&Setup::default()) });
+    let sockets = config::parse(&text.to_string(), |_| None).expect("a configuration").sockets;
+    actix_rt::System::new().block_on(async {
+        let (queue, mut arrivals) = tokio::sync::mpsc::channel(8);
+        let mut searchers = Searchers::new(sockets, queue);
+        let (to, wait) = (SearcherId::new("s0"), Span::from_millis(4_000));
+        let id = |shard: usize| PartId::new(&format!("q.{shard}"));
+        let call = |shard: usize| {
+            vec![(
+                0,
+                CallPart { id: id(shard), shard: Shard(shard), wait, first_step: None, text: "x".into() },
+            )]
+        };
+        searchers.at(&to, searcher.address);
+        for shard in 0..2 {
+            assert!(searchers.send(&to, call(shard)).is_ok());
+        }
+        assert!(searchers.recall(&to, &id(0), 0));
+        assert!(matches!(arrivals.recv().await, Some(Arrival::Ended(ended)) if ended.part == id(1)));
+        assert!(!searchers.recall(&to, &id(1), 0), "it has left and come back");
+        assert!(searchers.send(&to, call(2)).is_ok());
+        assert_eq!(searchers.leave(&to), [(id(2), 0)]);
+        assert!(searchers.send(&to, call(3)).is_err());
+    });
+    let came: Vec<String> = searcher.log().parts.into_iter().map(|p| p.id).collect();
+    assert_eq!(came, ["q.1"]);
+}
