SIGHUP reads the configuration again and moves the watch on discovery

Checked: no handler for SIGHUP anywhere in main.rs; the watch took its address once (transport/discovery.rs). Now the file is read again through config.rs; the watch moves with its version, first with a short wait; keys that need a restart are named; a faulty file leaves the old one in force. A list counts as held once it is in the router's queue.

--- a/crates/lockusher-mixer/src/config.rs
+++ b/crates/lockusher-mixer/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where the configuration is read, checked and given defaults. A message names the faulty key.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use lockusher::interface::Span;
 use lockusher_host::settings::{Membership, Settings};
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::clock::duration;
 use crate::protocol::discovery::ListText;
@@ -20,6 +22,17 @@
     pub sockets: Sockets,
     pub known: Option<ListText>,
     pub settings: Settings,
+    /// Each key as it was written.
+    written: BTreeMap<String, Value>,
+}
+
+impl Config {
+    /// The keys that differ in another and can't change in a running process.
+    pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
+        // `known` is read at a start only: by now the process knows better.
+        const FIXED: [&str; 5] = ["name", "listen", "seed", "limits", "settings"];
+        FIXED.into_iter().filter(|key| self.written.get(*key) != other.written.get(*key)).collect()
+    }
 }
 
 /// What the sockets go by.
@@ -98,6 +111,7 @@
         sockets,
         known: read.known,
         settings: read.settings,
+        written: serde_json::from_str(text)?,
     })
 }
 
--- a/crates/lockusher-mixer/src/main.rs
+++ b/crates/lockusher-mixer/src/main.rs
@@ -22,8 +22,9 @@
 /// No new connection comes after this; those that came last are closed unless a request is in hand.
 const CLOSE_LISTENER: Duration = Duration::from_millis(600);
 
-async fn serve(config: Config) -> Result<()> {
+async fn serve(mut config: Config, load: impl Fn() -> Result<Config>) -> Result<()> {
     let clock = Clock::start();
+    let mut hung_up = signal(SignalKind::hangup())?;
     let mut terminated = signal(SignalKind::terminate())?;
     let mut interrupted = signal(SignalKind::interrupt())?;
     let sockets = config.sockets;
@@ -36,7 +37,7 @@
     let mut router =
         Router::start(clock, &config, searchers, asked.clone(), inlets, can_serve.clone(), open.clone())
             .context("settings")?;
-    let known = config.known.map(|known| known.read(&config.settings.names()));
+    let known = config.known.take().map(|known| known.read(&config.settings.names()));
     let from = known.as_ref().map(|known| known.index);
     if let Some(known) = known {
         router.remember(known);
@@ -45,8 +46,8 @@
         clients::listen(config.listen).await.with_context(|| format!("listen: {}", config.listen))?;
     let at = listener.local_addr().context("listen")?;
     let names = config.settings.names();
-    let watching =
-        discovery::watch(config.discovery, sockets, config.settings.names(), from, asked, queue.clone());
+    let (moves, moved) = watch::channel(config.discovery);
+    let watching = discovery::watch(moved, sockets, config.settings.names(), from, asked, queue.clone());
     actix_rt::spawn(watching);
     let mut routing = actix_rt::spawn(router.run());
     let desk = Rc::new(Desk { names, sockets, queue, left, can_serve, stopping });
@@ -54,16 +55,30 @@
     let mut serving = actix_rt::spawn(clients::serve(listener, desk, closed.clone()));
     log!("{} serves on {at}", config.name);
 
-    tokio::select! {
-        _ = terminated.recv() => {}
-        _ = interrupted.recv() => {}
-        ended = &mut routing => {
-            ended.context("routing")?;
-            anyhow::bail!("routing has ended");
-        }
-        ended = &mut serving => {
-            ended.context("serving")?;
-            anyhow::bail!("serving has ended");
+    loop {
+        tokio::select! {
+            // What is in hand, connections and what was learned stay; only the watch moves.
+            Some(()) = hung_up.recv() => match load() {
+                Ok(new) => {
+                    let moves = moves.send_if_modified(|at| std::mem::replace(at, new.discovery) != new.discovery);
+                    log!("{}: configuration read again, discovery {} {}", config.name,
+                        if moves { "moves to" } else { "stays at" }, new.discovery);
+                    for key in config.needs_restart(&new) {
+                        log!("{key}: another value needs a restart; the old one stays in force");
+                    }
+                }
+                Err(error) => log!("configuration not read again, the old one stays in force: {error:#}"),
+            },
+            _ = terminated.recv() => break,
+            _ = interrupted.recv() => break,
+            ended = &mut routing => {
+                ended.context("routing")?;
+                anyhow::bail!("routing has ended");
+            }
+            ended = &mut serving => {
+                ended.context("serving")?;
+                anyhow::bail!("serving has ended");
+            }
         }
     }
     log!("{} stops: {} multigets in hand", config.name, open.get());
@@ -79,8 +94,8 @@
 
 fn main() -> ExitCode {
     let run = || {
-        let config = config::load(|name| std::env::var(name).ok())?;
-        actix_rt::System::new().block_on(serve(config))
+        let load = || config::load(|name| std::env::var(name).ok());
+        actix_rt::System::new().block_on(serve(load()?, load))
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/lockusher-mixer/src/transport/discovery.rs
+++ b/crates/lockusher-mixer/src/transport/discovery.rs
@@ -1,12 +1,13 @@
 //! The watch on discovery.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use awc::{Client, Connector};
 use lockusher::interface::Span;
 use lockusher_host::settings::Names;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::duration;
 use crate::config::Sockets;
@@ -20,33 +21,60 @@
 const PACE: Duration = Duration::from_millis(100);
 /// How long after its wait a call's answer may still come.
 const LATE: Duration = Duration::from_secs(2);
+/// The first wait at an address, well within the 4 s after which news of one that moved counts as told.
+const FIRST: Span = Span::from_millis(1_000);
 
-/// Watches for what is newer than `from`, for good. Where discovery tells only those that ask, a watch begins
-/// when asked for, and its failure is told.
+/// Watches for what is newer than `from`, for good, wherever discovery moves. Where it tells only those that ask,
+/// a watch begins when asked for or when discovery moves, and its failure is told.
 pub async fn watch(
-    address: SocketAddr,
+    mut address: watch::Receiver<SocketAddr>,
     sockets: Sockets,
     names: Names,
     mut from: Option<u64>,
-    asked: std::rc::Rc<Notify>,
+    asked: Rc<Notify>,
     queue: mpsc::Sender<Arrival>,
 ) {
-    let hold = duration(sockets.hold) + LATE;
+    let mut began = !sockets.on_request;
+    loop {
+        let at = *address.borrow_and_update();
+        let watching = watch_at(at, &sockets, &names, &mut from, &mut began, &asked, &queue);
+        tokio::select! {
+            () = watching => return,
+            // What was being told there is asked for anew, from the last list that was taken whole.
+            Ok(()) = address.changed() => began = true,
+        }
+    }
+}
+
+/// Watches at one address; ends when nobody takes what it tells. A list counts once it is in the queue.
+async fn watch_at(
+    address: SocketAddr,
+    sockets: &Sockets,
+    names: &Names,
+    from: &mut Option<u64>,
+    began: &mut bool,
+    asked: &Notify,
+    queue: &mpsc::Sender<Arrival>,
+) {
     // No time-out of the client's own may end a watch early.
-    let connector = Connector::new().timeout(duration(sockets.connect_timeout)).conn_lifetime(hold * 1_000);
-    let client = Client::builder().connector(connector).timeout(hold).finish();
+    let longest = duration(sockets.hold) + LATE;
+    let connector =
+        Connector::new().timeout(duration(sockets.connect_timeout)).conn_lifetime(longest * 1_000);
+    let client = Client::builder().connector(connector).timeout(longest).finish();
+    // Versions may begin anew at another address: a first wait that is short shows it soon.
+    let mut hold = sockets.hold.min(FIRST);
     loop {
-        if sockets.on_request {
+        if !std::mem::replace(began, !sockets.on_request) {
             asked.notified().await;
         }
         loop {
             let began = Instant::now();
-            let told = match call(&client, address, &names, from, sockets.hold, hold).await {
+            let told = match call(&client, address, names, *from, hold, duration(hold) + LATE).await {
                 Ok(list) if list.complete || from.is_some_and(|from| list.index >= from) => list,
                 Ok(list) => {
                     // A version that goes back, or a change to a list not held, tells of a restart there.
                     log!("discovery went back to version {}: asking for the whole list", list.index);
-                    from = None;
+                    *from = None;
                     tokio::time::sleep(PACE).await;
                     continue;
                 }
@@ -59,11 +87,11 @@
                     continue;
                 }
             };
-            from = Some(told.index);
-            let nothing = told.lines.is_empty();
-            if queue.send(Arrival::Told(Some(told))).await.is_err() {
-                return;
-            }
+            hold = sockets.hold;
+            let (index, nothing) = (told.index, told.lines.is_empty());
+            let Ok(place) = queue.reserve().await else { return };
+            place.send(Arrival::Told(Some(told)));
+            *from = Some(index);
             if nothing && began.elapsed() < PACE {
                 tokio::time::sleep(PACE).await;
             }
--- a/crates/lockusher-mixer/tests/stand_in/mod.rs
+++ b/crates/lockusher-mixer/tests/stand_in/mod.rs
@@ -226,7 +226,7 @@
 }
 
 impl Discovery {
-    fn start(endpoints: Vec<Value>) -> Arc<Self> {
+    pub fn start(endpoints: Vec<Value>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let told = Told { index: 1, whole: true, endpoints, says: Says::Lists, watched: None };
         let discovery = Arc::new(Discovery {
@@ -373,6 +373,7 @@
     pub discovery: Arc<Discovery>,
     pub address: SocketAddr,
     mixer: Child,
+    config: Value,
     file: std::path::PathBuf,
 }
 
@@ -407,7 +408,7 @@
         let address = first.trim_end().rsplit(' ').next().and_then(|a| a.parse().ok());
         let address = address.unwrap_or_else(|| panic!("it says where it serves: {first}"));
         thread::spawn(move || std::io::copy(&mut said, &mut std::io::stderr()));
-        let world = World { searchers, discovery, address, mixer, file };
+        let world = World { searchers, discovery, address, mixer, config, file };
         world.until(|| world.get("/up").status == 200);
         world
     }
@@ -443,9 +444,20 @@
         self.searchers.iter().for_each(|s| s.does(script.clone()));
     }
 
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.mixer.id().to_string()]).status();
+        assert!(sent.expect("kill").success());
+    }
+
     pub fn terminate(&self) {
-        let killed = Command::new("kill").args(["-TERM", &self.mixer.id().to_string()]).status();
-        assert!(killed.expect("kill").success());
+        self.signal("-TERM");
+    }
+
+    /// Writes this into the configuration and tells the mixer to read it again.
+    pub fn reload(&mut self, key: &str, value: impl Into<Value>) {
+        self.config[key] = value.into();
+        std::fs::write(&self.file, self.config.to_string()).expect("a file");
+        self.signal("-HUP");
     }
 
     pub fn ended(&mut self) -> ExitStatus {
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -228,6 +228,41 @@
     assert!(world.sends("q2").iter().all(|(to, _)| to == "s1"));
 }
 
+/// SIGHUP once ended the process. What is in hand and what was learned stay, and news comes from the new address.
+#[rstest]
+#[case::told(false)]
+#[case::on_asking(true)]
+fn a_configuration_read_again_moves_discovery_and_nothing_else(#[case] asks: bool) {
+    let mut world = World::start(Setup { asks, ..Setup::default() });
+    world.discovery.told(1);
+    world.all_do(|_| Act::Silent);
+    let mut busy = world.client();
+    busy.write(&request("q1", &body(&[3])));
+    world.until(|| !world.sends("q1").is_empty());
+    let lines = |left: std::ops::Range<usize>| left.map(|i| line(&world.searchers[i], i, "active")).collect();
+    let (old, new) = (world.discovery.clone(), Discovery::start(lines(0..3)));
+    new.tell(2, false, vec![line(&world.searchers[0], 0, "left")]);
+    world.discovery = new.clone();
+    // A faulty file changes nothing; of several in a row the last one counts.
+    world.reload("seed", "no digits");
+    world.reload("seed", "5eed");
+    world.reload("discovery", new.address.to_string());
+    new.told(2);
+    // What the old one says now is no longer heard.
+    old.tell(9, true, Vec::new());
+    world.all_do(|_| Act::Good);
+    assert_eq!(busy.read().expect("an answer").status, 200);
+    let before = world.searchers[0].log().parts.len();
+    let mut client = world.client();
+    for i in 0..10 {
+        assert_eq!(client.ask(&format!("r{i}"), &[i]).status, 200);
+    }
+    assert_eq!(world.searchers[0].log().parts.len(), before);
+    world.terminate();
+    world.reload("seed", "5eed");
+    assert!(world.ended().success());
+}
+
 #[rstest]
 fn a_searcher_that_moves_is_found_at_its_new_address() {
     let world = World::start(Setup { searchers: 1, ..Setup::default() });
