--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -155,8 +155,8 @@
     /// The middle latency average of those heard from, and how many are warm.
     middle: Option<f64>,
     warm: usize,
-    /// By zone, where enough were heard from of late: the latency of the middle one, and of one in eight. With
-    /// few samples, those behind one path tell of each other. Does harm if a zone is of very unlike machines.
+    /// By zone, where enough were heard from of late: the latency of the middle one, and of one in four, of fewer
+    /// than eight the quickest: with a sound one, the path is. Does harm if a zone is of very unlike machines.
     zones: BTreeMap<Option<Zone>, (f64, f64)>,
     /// The lowest of the latter.
     quickest: f64,
@@ -210,8 +210,8 @@
             zones.entry(s.listed.zone).or_default().extend(s.latency);
         }
         let known = zones.iter_mut().filter(|(_, heard)| heard.len() >= ENOUGH);
-        let figures = known.filter_map(|(zone, heard)| Some((*zone, (lowest(2, heard)?, lowest(8, heard)?))));
-        self.fleet.zones = figures.collect();
+        let quick = |heard: &mut Vec<f64>| lowest(if heard.len() < 8 { 8 } else { 4 }, heard);
+        self.fleet.zones = known.filter_map(|(z, l)| Some((*z, (lowest(2, l)?, quick(l)?)))).collect();
         self.fleet.quickest = self.fleet.zones.values().map(|zone| zone.1).fold(f64::MAX, f64::min);
     }
 
