Nothing leaves for a client that has gone while the mixer stood still

Checked: calls out on a connection (19 at most of 32), frames not yet written at final answers (taken back), invariants (none broken). A mixer stopped by signal while a client asked and left sent up to all parts for it on waking, and copies for one that had left: the request or the timer was acted on before the connection's end was read (routing/mod.rs run, transport/clients.rs multiget). Now what has come on the sockets is read first.

--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -115,8 +115,13 @@
                 Some(id) = self.inlets.left.recv() => left = Some(id),
                 () = tokio::time::sleep(wait) => {}
             }
+            // What has come on the sockets is read first: after standing still, a copy that is due must not leave
+            // for a client that has gone, nor a time-out be noted for what has been answered.
+            tokio::task::yield_now().await;
             let now = self.clock.now();
             self.desk.begin(now);
+            arrival = arrival.or_else(|| self.inlets.arrivals.try_recv().ok());
+            left = left.or_else(|| self.inlets.left.try_recv().ok());
             let mut handled = 0;
             while let Some(got) = arrival {
                 self.arrived(now, got);
--- a/crates/lockusher-mixer/src/transport/client_stream.rs
+++ b/crates/lockusher-mixer/src/transport/client_stream.rs
@@ -115,6 +115,10 @@
         self.refused.set(true);
     }
 
+    pub fn gone(&self) -> bool {
+        self.gone.get()
+    }
+
     /// Ends once the client has gone away.
     pub async fn left(&self) {
         while !self.gone.get() {
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -244,6 +244,12 @@
         body.extend_from_slice(&chunk);
     }
     let at = usage.whole();
+    // A mixer that had to stand still reads a request and its client's going at once: nothing is sent for one
+    // that is gone by now.
+    tokio::task::yield_now().await;
+    if usage.gone() {
+        return Ok(plain(500, "its client has gone"));
+    }
     let request = client::decode(&head, &body, &desk.names, desk.sockets.shards)?;
     drop(body);
     let (reply, answer) = oneshot::channel();
--- a/crates/lockusher-mixer/tests/stand_in/mod.rs
+++ b/crates/lockusher-mixer/tests/stand_in/mod.rs
@@ -469,6 +469,13 @@
         assert!(sent.expect("kill").success());
     }
 
+    /// The mixer stands still while this happens.
+    pub fn meanwhile(&self, happens: impl FnOnce()) {
+        self.signal("-STOP");
+        happens();
+        self.signal("-CONT");
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -242,6 +242,24 @@
     assert_eq!(world.client().ask("q1", &[3]).status, 200);
 }
 
+/// A mixer gets part of a core: it may stand still while a client asks and leaves, or while a copy falls due.
+#[rstest]
+fn nothing_leaves_for_a_client_that_has_gone_while_the_mixer_stood_still() {
+    let world = World::start(Setup::default());
+    let (mut gone, mut waits) = (world.client(), world.client());
+    world.all_do(|_| Act::Silent);
+    waits.write(&request("q3", &body(&[3])));
+    world.until(|| !world.sends("q3").is_empty());
+    world.meanwhile(|| {
+        gone.write(&request("q4", &body(&[1, 2, 3])));
+        drop((gone, waits));
+        thread::sleep(Duration::from_millis(1_500));
+    });
+    world.all_do(|_| Act::Good);
+    assert_eq!(world.client().ask("q5", &[3]).status, 200);
+    assert_eq!((world.sends("q3").len(), world.sends("q4").len()), (1, 0));
+}
+
 #[rstest]
 fn an_id_in_hand_is_not_taken_twice() {
     let world = World::start(Setup::default());
