--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -244,13 +244,13 @@
     }
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. While there is another
-    /// it passes over those sent this part, and those behind a slow path: the score would go on sending parts
-    /// that way, as a second own part here weighs eight times.
+    /// it passes over those sent this part. One behind a slow path looks busier than it is: the score would go
+    /// on sending parts that way, as a second own part here weighs eight times.
     fn pick(&self, now: Time, part: &Part, budget: Span, rng: &mut ChaCha8Rng) -> Pick {
         const N: i32 = 3; // The design's first setting; with 2, own parts out hardly decide.
         /// Times its price in latency budgets: no crossing among idle ones, yet a sound one beats a slow one.
         const CROSSING: f64 = 20.0;
-        type Entry<'a> = (u32, f64, u32, &'a SearcherId, f64);
+        type Entry<'a> = (bool, f64, u32, &'a SearcherId, f64);
         let mut best: Option<Entry> = None;
         let mut soonest: Option<Span> = None;
         for (id, s) in self.holders(part.shard) {
@@ -263,19 +263,18 @@
             let peers = self.near(s, budget);
             let (_, good, queue) = s.learned(now, peers);
             let expected = s.expected(now, peers, self.fleet.work, &self.cold);
-            let queue = s.out.len() as f64 + queue + 1.0;
+            // Full queues leave some quick: if even these take three times what they do elsewhere, it is the way
+            // there, and counts like eight more own parts. Does harm if a whole zone is merely weak.
+            let zone = self.fleet.zones.get(&s.listed.zone);
+            let slow = zone.is_some_and(|zone| zone.1 > 3.0 * self.fleet.quickest);
+            let queue = s.out.len() as f64 + queue + 1.0 + if slow { 8.0 } else { 0.0 };
             let far = s.listed.zone.is_some() && s.listed.zone != self.home;
             let crossing = if far { CROSSING * self.price * budget.as_secs() } else { 0.0 };
             // One that fails fast looks quick and empty; a part has few sends, so failures weigh twice.
             let failing = good.max(0.05).powi(2);
             let score = queue.powi(N) * (expected + crossing) / failing;
-            // Full queues leave some quick: if even these take three times what they do elsewhere, it is the
-            // way there. Does harm if a whole zone is merely weak.
-            let zone = self.fleet.zones.get(&s.listed.zone);
-            let slow = zone.is_some_and(|zone| zone.1 > 3.0 * self.fleet.quickest);
             let sent = part.sends.iter().any(|send| send.to == *id);
-            let passed = 2 * u32::from(sent) + u32::from(slow);
-            let entry = (passed, score, rng.random::<u32>(), id, expected / failing);
+            let entry = (sent, score, rng.random::<u32>(), id, expected / failing);
             let order = |a: &Entry, b: &Entry| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2));
             best = best.into_iter().chain([entry]).min_by(order);
         }
--- a/crates/lockusher/tests/stories.rs
+++ b/crates/lockusher/tests/stories.rs
@@ -161,6 +161,19 @@
     assert!(far <= 6, "{far} of 120 parts went over the slow path");
 }
 
+/// A zone taken for slow was passed over even as all others had their queues full of own parts.
+#[test]
+fn behind_a_slow_path_some_are_used_once_others_are_full() {
+    let mut host = Host::new(Site { searchers: &["a", "b", "c", "d", "e", "f"], ..Site::default() });
+    host.serve(10, &[0, 1, 2, 3, 4, 5]);
+    ["d", "e", "f"].iter().for_each(|id| host.speed(id, ms(400)));
+    host.serve(30, &[0, 1, 2, 3, 4, 5]);
+    host.forget_counts();
+    host.ask("many", &(0..60).collect::<Vec<_>>());
+    let far: usize = ["d", "e", "f"].iter().map(|id| host.count(id)).sum();
+    assert!((3..30).contains(&far), "{far} of 60 parts went that way");
+}
+
 /// Three of four in a zone were slow, and the fourth, quick and idle, was passed over with them for seconds.
 #[test]
 fn a_zone_with_a_quick_searcher_is_behind_no_slow_path() {
