A late answer casts doubt on its connection, which a probe on another settles

What was believed in flight was not: parts on 17 silent connections counted as out until their clients' time was up. Told from a slow or hung searcher: it answers a probe on the connection, or on none.

--- a/crates/lockusher-host/src/settings.rs
+++ b/crates/lockusher-host/src/settings.rs
@@ -88,6 +88,8 @@
     #[serde(default)]
     pub may_cancel: bool,
     #[serde(default)]
+    pub probes: bool,
+    #[serde(default)]
     parallel_tries: bool,
     #[serde(default)]
     retry_after: bool,
--- a/crates/lockusher-mixer/src/config.rs
+++ b/crates/lockusher-mixer/src/config.rs
@@ -51,6 +51,7 @@
     pub most_bytes: usize,
     pub shards: usize,
     pub may_withdraw: bool,
+    pub may_probe: bool,
     /// No client waits longer for an answer.
     pub longest: Span,
     /// How long discovery may hold a watch, and whether it tells only those that ask.
@@ -151,6 +152,7 @@
         most_bytes: memory * 1024 * 1024 / 8,
         shards: count("extra.slices", extra.slices, usize::MAX)?,
         may_withdraw: limits.may_cancel,
+        may_probe: limits.probes,
         longest,
         hold: settings.ask_every().unwrap_or(Span::from_millis(20_000)),
         on_request: settings.membership_mode == Membership::OnRequest,
--- a/crates/lockusher-mixer/src/protocol/frame.rs
+++ b/crates/lockusher-mixer/src/protocol/frame.rs
@@ -74,6 +74,11 @@
     Bytes::from(format!("n{}", id.as_str()))
 }
 
+/// Asks for a searcher's health.
+pub fn probe() -> Bytes {
+    Bytes::from_static(b"o")
+}
+
 /// What the mixer answers a probe with: it is well; of its load it has nothing to tell.
 pub fn probe_answer(probe: Probe) -> Bytes {
     Bytes::from_static(match probe {
@@ -93,7 +98,7 @@
 pub enum FromSearcher {
     Ended(PartEnded),
     Probe(Probe),
-    /// An answer to a probe, which the mixer never sends.
+    /// An answer to a probe: that it came says what there is to know.
     Nothing,
     /// A frame could not be used; the connection closes.
     Unusable(String),
--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -277,6 +277,10 @@
         must_hold!(!multiget.ended, "nothing is sent for a multiget that has its final answer");
         must_hold!(!part.returned, "nothing is sent for a part that is in");
         let Some(open) = self.open.get_mut(&multiget.id) else { return };
+        // A copy of what is late: is it the searcher, or the connection to it?
+        for (before, send) in part.sends.iter().enumerate().filter(|(_, send)| send.outcome.is_none()) {
+            self.searchers.doubt(&send.to, &part.id, before);
+        }
         if order.anew {
             self.searchers.close_unused(&order.to);
         }
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -93,9 +93,8 @@
         };
         let roomy = |c: &&Rc<Connection>| {
             let takes = matches!(c.state.get(), State::Connecting | State::Open);
-            // Some of a frame with nothing out is noise behind an answer.
-            let noise = c.partial.get() && c.unused();
-            takes && !noise && c.calls.borrow().len() < self.sockets.most_calls
+            // Answers come whole: with some of a frame, what follows it may be noise, or nothing.
+            takes && !c.partial.get() && !c.doubted.get() && c.calls.borrow().len() < self.sockets.most_calls
         };
         let connection = self.connections.get(to).and_then(|of| of.iter().find(roomy)).cloned();
         let connection = match connection {
@@ -133,9 +132,25 @@
     /// there. Tells what had not left.
     pub fn in_vain(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> Vec<Unsent> {
         let Some(connection) = self.carrier(to, part, nth) else { return Vec::new() };
-        let silent = |out: &Out| out.way == Way::Written && connection.heard.get() < out.at;
-        let silent = connection.out.borrow().get(part).is_some_and(silent);
-        if silent { connection.retire() } else { Vec::new() }
+        if connection.silent_since(part) { connection.retire() } else { Vec::new() }
+    }
+
+    /// A send is late enough for a copy. If nothing has come on its connection since it left, its searcher is asked
+    /// how it is, there and on a new connection: if it says so on the new one alone, the old one has fallen silent.
+    /// Guards against boxes between and machines that forgot a connection; costs a handshake where a searcher
+    /// stands still.
+    pub fn doubt(&mut self, to: &SearcherId, part: &PartId, nth: usize) {
+        let Some(doubted) = self.carrier(to, part, nth).cloned() else { return };
+        let address = self.addresses.get(to).copied().filter(|_| self.sockets.may_probe);
+        let doubtful =
+            doubted.state.get() == State::Open && !doubted.doubted.get() && doubted.silent_since(part);
+        let Some(address) = address.filter(|_| doubtful && self.room()) else { return };
+        doubted.doubted.set(true);
+        doubted.probe();
+        let other = Connection::open(address, self.sockets, &self.queue, &self.open);
+        other.probe();
+        *other.instead_of.borrow_mut() = Some(doubted);
+        self.connections.entry(to.clone()).or_default().push(other);
     }
 
     /// Gives a send up, wherever it is.
@@ -173,7 +188,7 @@
 enum Outgoing {
     Call(Vec<Sent>),
     GivenUp(PartId),
-    Answer(Bytes),
+    Probe(Bytes),
 }
 
 /// A part that is out on a connection.
@@ -214,6 +229,9 @@
     spoilt: Cell<Option<Outcome>>,
     /// Some of a frame has come, and not all.
     partial: Cell<bool>,
+    /// It is being found out whether it has fallen silent; the one that may take its place, which tells.
+    doubted: Cell<bool>,
+    instead_of: RefCell<Option<Rc<Connection>>>,
     /// It counts among those that are open.
     counted: Cell<bool>,
     open: Rc<Cell<usize>>,
@@ -242,6 +260,8 @@
             answered: RefCell::default(),
             spoilt: Cell::new(None),
             partial: Cell::new(false),
+            doubted: Cell::new(false),
+            instead_of: RefCell::default(),
             counted: Cell::new(true),
             open: open.clone(),
             wake: Notify::new(),
@@ -262,6 +282,28 @@
         self.out.borrow().is_empty()
     }
 
+    /// Whether this part has left and nothing has come since.
+    fn silent_since(&self, part: &PartId) -> bool {
+        let silent = |out: &Out| out.way == Way::Written && self.heard.get() < out.at;
+        self.out.borrow().get(part).is_some_and(silent)
+    }
+
+    fn probe(&self) {
+        self.outbox.borrow_mut().push_back(Outgoing::Probe(frame::probe()));
+        self.wake.notify_one();
+    }
+
+    /// A frame has come.
+    fn hears(&self) {
+        self.heard.set(Instant::now());
+        self.doubted.set(false);
+        if let Some(silent) = self.instead_of.take().filter(|doubted| doubted.doubted.get()) {
+            silent.spoilt.set(Some(Outcome::Lost));
+            silent.state.set(State::Retired);
+            silent.broken_off.notify_one();
+        }
+    }
+
     fn uncount(&self) {
         if self.counted.replace(false) {
             self.open.set(self.open.get() - 1);
@@ -356,7 +398,7 @@
         }
         self.used.set(Instant::now());
         let (reader, writer) = stream.split();
-        let read = self.read(reader, duration(sockets.connect_timeout) * 2, queue);
+        let read = self.read(reader, duration(sockets.connect_timeout), queue);
         tokio::pin!(read);
         let ended = tokio::select! {
             ended = &mut read => ended,
@@ -367,7 +409,7 @@
                 ended
             }
             () = self.out_of_use(duration(sockets.idle)) => Ok(()),
-            () = self.broken_off.notified() => Err(std::io::Error::other("it takes nothing more")),
+            () = self.broken_off.notified() => Err(std::io::Error::other("it takes nothing more, or has fallen silent")),
         };
         if let Err(error) = ended {
             log!("connection to {} ended: {error}", self.address);
@@ -412,7 +454,7 @@
                     now(Way::Written);
                 }
                 Outgoing::GivenUp(part) => frames.send(frame::given_up(&part)).await?,
-                Outgoing::Answer(frame) => frames.send(frame).await?,
+                Outgoing::Probe(frame) => frames.send(frame).await?,
             }
         }
     }
@@ -428,7 +470,7 @@
         loop {
             while let Some(frame) = frame::next(&mut buffer).map_err(|why| self.spoil(why))? {
                 began = None;
-                self.heard.set(Instant::now());
+                self.hears();
                 match frame::decode(&frame) {
                     Some(FromSearcher::Ended(ended)) => {
                         if !self.ended(ended, queue).await? {
@@ -439,7 +481,7 @@
                         let mut outbox = self.outbox.borrow_mut();
                         // One that probes faster than it reads gets no more.
                         if outbox.len() < 64 {
-                            outbox.push_back(Outgoing::Answer(frame::probe_answer(probe)));
+                            outbox.push_back(Outgoing::Probe(frame::probe_answer(probe)));
                             self.wake.notify_one();
                         }
                     }
@@ -511,10 +553,11 @@
         for (_, part) in parts {
             let Some(out) = self.end(&part) else { continue };
             let outcome = match (out.way, self.spoilt.get()) {
-                (Way::Written, Some(outcome)) => {
+                (Way::Written, Some(Outcome::Error)) => {
                     self.spoilt.set(Some(Outcome::Withdrawn));
-                    outcome
+                    Outcome::Error
                 }
+                (Way::Written, Some(outcome)) => outcome,
                 (Way::Written, None) => Outcome::Broken,
                 (Way::Writing | Way::Waiting, Some(_)) => Outcome::Moot,
                 (Way::Writing | Way::Waiting, None) => Outcome::NoConnection,
--- a/crates/lockusher-mixer/tests/stand_in/mod.rs
+++ b/crates/lockusher-mixer/tests/stand_in/mod.rs
@@ -33,6 +33,8 @@
     OtherEnd,
     OtherLetter,
     Swallowing,
+    /// From here on the connection says nothing.
+    Mute,
     /// Good answers with more than belongs to them: another copy, noise, a report that can't be read.
     Twice,
     Noise,
@@ -152,6 +154,7 @@
     fn serve(&self, mut stream: TcpStream) {
         // A probe at once: a searcher may ask as well.
         let _ = stream.write_all(&[frame(b'o', b""), frame(b'p', b"")].concat());
+        let mut mute = false;
         loop {
             let stuck = self.stuck.lock().unwrap();
             drop(self.resumed.wait_while(stuck, |stuck| *stuck).unwrap());
@@ -165,10 +168,18 @@
                         if act == Act::Break {
                             let _ = stream.shutdown(Shutdown::Both);
                         }
-                        let _ = stream.write_all(&answer);
+                        mute |= act == Act::Mute;
+                        if !mute {
+                            let _ = stream.write_all(&answer);
+                        }
                     }
                 }
                 b'n' => self.note(|log| log.given_up.push(String::from_utf8_lossy(&rest).into_owned())),
+                b'o' if rest.is_empty() => {
+                    if !mute {
+                        let _ = stream.write_all(&frame(b'o', b"good"));
+                    }
+                }
                 _ => self.note(|log| {
                     log.probes.push(format!("{}{}", letter as char, String::from_utf8_lossy(&rest)))
                 }),
@@ -197,7 +208,7 @@
             Act::Twice => [q("good", &value), q("good", "another")].concat(),
             Act::Bad => q("bad", ""),
             Act::Later => q("later", ""),
-            Act::Silent | Act::Break => Vec::new(),
+            Act::Silent | Act::Break | Act::Mute => Vec::new(),
             Act::Garbage => frame(b'q', b"no line"),
             Act::Absurd => vec![0xff; 64],
             Act::Unusable => frame(b'r', b"what is this"),
@@ -378,7 +389,7 @@
             "fetch_parts": [setup.second_step], "bundle_max": setup.most_parts,
         },
         "limits": {
-            "max_attempts": 4, "parallel_tries": setup.effect == "safe", "may_cancel": true, "retry_after": true,
+            "max_attempts": 4, "parallel_tries": setup.effect == "safe", "may_cancel": true, "probes": true, "retry_after": true,
             "max_retry_after_us": 2_000_000, "max_open": setup.most_open, "max_streams": setup.most_calls,
             "conn_idle_us": setup.idle_ms * 1000, "connect_timeout_us": 250_000,
         },
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -184,6 +184,33 @@
     }
 }
 
+/// What is late on a connection that says nothing more is lost with it, once its searcher answers elsewhere; where
+/// the connection answers too, the searcher is merely slow. Parts on one that had fallen silent were once waited for
+/// until their client's time was up, and more were sent after them.
+#[rstest]
+#[case::the_connection_fell_silent(Act::Mute, true)]
+#[case::the_searcher_is_slow(Act::Silent, false)]
+fn a_late_answer_casts_doubt_on_its_connection(#[case] act: Act, #[case] lost: bool) {
+    on_connections(Setup::default(), async move |searcher, searchers, arrivals| {
+        let to = SearcherId::new("s0");
+        searcher.does(move |part| if part.id == "q.1" { act } else { Act::Good });
+        assert!(searchers.send(&to, call(0)).is_ok());
+        assert!(matches!(arrivals.recv().await, Some(Arrival::Ended(e)) if e.outcome == Outcome::Returned));
+        assert!(searchers.send(&to, call(1)).is_ok());
+        while searcher.log().parts.len() < 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        searchers.doubt(&to, &PartId::new("q.1"), 0);
+        if lost {
+            assert!(matches!(arrivals.recv().await, Some(Arrival::Ended(e)) if e.outcome == Outcome::Lost));
+        }
+        assert!(searchers.send(&to, call(2)).is_ok());
+        let Some(Arrival::Ended(ended)) = arrivals.recv().await else { panic!("an end") };
+        assert_eq!((ended.part.as_str(), ended.outcome), ("q.2", Outcome::Returned));
+        assert_eq!(searcher.log().opened, 2);
+    });
+}
+
 /// A connection on which a send waited in vain and nothing has come since takes nothing new; and with no descriptor
 /// left, one that is unused elsewhere makes room.
 #[rstest]
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -247,6 +247,8 @@
     NoConnection,
     Broken,
     Withdrawn,
+    /// Its connection fell silent while its searcher answers on another: it may have run, and says nothing more.
+    Lost,
     /// Not transmitted: the part was done, out of time or out of sends.
     Moot,
 }
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -76,7 +76,7 @@
         let place = self.out.iter().position(|(at, ..)| *at == send.at)?;
         let (_, extra, unused) = self.out.swap_remove(place);
         blend(&mut self.queue, self.out.len() as f64, NEWEST);
-        if outcome == Outcome::Moot {
+        if matches!(outcome, Outcome::Moot | Outcome::Lost) {
             return None;
         }
         // Waiting is common to all parts, work is not: what is more than usual of it comes off.
