--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -155,8 +155,8 @@
     /// The middle latency average of those heard from, and how many are warm.
     middle: Option<f64>,
     warm: usize,
-    /// By zone, where enough were heard from of late: the latency of the middle one, and of one in four, of fewer
-    /// than eight the quickest: with a sound one, the path is. Does harm if a zone is of very unlike machines.
+    /// By zone, where enough were heard from of late: the latency of the middle one, and of one in four; of
+    /// fewer than eight the quickest: with one sound, the path is. Does harm if a zone's machines are unlike.
     zones: BTreeMap<Option<Zone>, (f64, f64)>,
     /// The lowest of the latter.
     quickest: f64,
@@ -244,8 +244,8 @@
     }
 
     /// The replica with the lowest score: (in-flight + its EWMA + 1)^N x latency EWMA. While there is another
-    /// it passes over those sent this part. One behind a slow path looks busier than it is: the score would go
-    /// on sending parts that way, as a second own part here weighs eight times.
+    /// it passes over those sent this part. One behind a slow path looks busier than it is: the score would
+    /// go on sending parts that way, as a second own part here weighs eight times.
     fn pick(&self, now: Time, part: &Part, budget: Span, rng: &mut ChaCha8Rng) -> Pick {
         const N: i32 = 3; // The design's first setting; with 2, own parts out hardly decide.
         /// Times its price in latency budgets: no crossing among idle ones, yet a sound one beats a slow one.
@@ -263,8 +263,8 @@
             let peers = self.near(s, budget);
             let (_, good, queue) = s.learned(now, peers);
             let expected = s.expected(now, peers, self.fleet.work, &self.cold);
-            // Full queues leave some quick: if even these take three times what they do elsewhere, it is the way
-            // there, and counts like eight more own parts. Does harm if a whole zone is merely weak.
+            // Full queues leave some quick: if even these take three times what they do elsewhere, it is the
+            // way there, and counts like eight more own parts. Does harm if a whole zone is merely weak.
             let zone = self.fleet.zones.get(&s.listed.zone);
             let slow = zone.is_some_and(|zone| zone.1 > 3.0 * self.fleet.quickest);
             let queue = s.out.len() as f64 + queue + 1.0 + if slow { 8.0 } else { 0.0 };
@@ -361,21 +361,18 @@
     density: Mean<50>,
     /// Multigets let in that missed their latency budget; halves soon, so that a shut gate opens again.
     missed: Share<30, 3, 3>,
+    /// First tries not answered within it: where there are few, so are later ones.
+    unserved: Share<30, 3, 3>,
 }
 
 /// A tenant's least room in multigets: the first is not over a share that is under one a second here.
 const LEAST_ROOM: f64 = 2.0;
 
 impl Gate {
-    pub fn new(
-        now: Time,
-        tenants: &[Tenant],
-        over_share: f64,
-        by_work: bool,
-        come_back: Option<Span>,
-    ) -> Self {
+    pub fn new(now: Time, tenants: &[Tenant], over: f64, by_work: bool, come_back: Option<Span>) -> Self {
         let quotas = tenants.iter().map(|t| (t.quota_per_s, LEAST_ROOM, now)).collect();
-        Gate { quotas, over_share, by_work, come_back, density: Mean::default(), missed: Share::new(now) }
+        let (density, missed, unserved) = (Mean::default(), Share::new(now), Share::new(now));
+        Gate { quotas, over_share: over, by_work, come_back, density, missed, unserved }
     }
 
     fn took(&mut self, now: Time, mg: &Multiget, worth: f64, mixers: usize) {
@@ -466,9 +463,10 @@
         }
         let Some(answer) = reply else { return self.send_parts(now, mg) };
         let in_time = matches!(answer, Reply::Answered { .. }) && now <= self.budget_end(mg);
-        if !fresh {
-            self.gate.missed.note(now, !in_time);
-        }
+        let first = self.like_first(mg);
+        let Gate { missed, unserved, .. } = &mut self.gate;
+        let noted = [(!fresh).then_some(missed), first.then_some(unserved)];
+        noted.into_iter().flatten().for_each(|share| share.note(now, !in_time));
         Advice { reply, ..Advice::default() }
     }
 
@@ -563,13 +561,15 @@
     }
 
     /// When the client sees its latency budget pass. A later try given other than the usual time is given
-    /// what is left of the route timeout, which tells how long ago its first began.
+    /// what is left of the route timeout: so long ago its first began. Where most first tries are answered in
+    /// time, it is a first one, of a client that gives less. Does harm if others turn many away.
     fn budget_end(&self, mg: &Multiget) -> Time {
         let op = self.op(mg);
         let stretch = mg.hint.map_or(Span::ZERO, |h| h.times(op.budget_stretch));
         let budget = (op.latency_budget + stretch).min(op.route_timeout);
         let given = mg.ends.since(mg.arrived);
-        let gone = if self.like_first(mg) { Span::ZERO } else { op.route_timeout.saturating_sub(given) };
+        let later = if self.like_first(mg) { 0.0 } else { self.gate.unserved.value(mg.arrived) * 3.0 };
+        let gone = op.route_timeout.saturating_sub(given).times(later.min(1.0));
         (mg.arrived + budget - gone).min(mg.ends) - self.margin()
     }
 
