What waits for its connection is taken back once its part is in or its step over

Found by reading beside the rule (a part that is done is not sent any more): only the final answer took back what had not left; a part answered elsewhere, or a first step that ended, left its copies waiting for connections slow to come up, and they left then. Shown by a story on searchers to which no connection comes up for a while: seven parts arrived there after they were in, none now.

--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -131,6 +131,11 @@
         true
     }
 
+    /// Whose part it is, if its multiget is open.
+    pub fn owner(&self, part: &PartId) -> Option<&MultigetId> {
+        self.owners.get(part)
+    }
+
     /// A line of the list: nothing more goes to a searcher that drains or is gone.
     pub fn listed(&mut self, line: &Listed, address: SocketAddr) {
         let unsent = match line.state {
@@ -240,9 +245,10 @@
         Some(open)
     }
 
-    /// What has not left by the final answer must not leave after it.
-    fn recall(&mut self, multiget: &Multiget) {
-        for part in &multiget.parts {
+    /// What has not left by the time its part is in, its step is over or its multiget has its final answer must not
+    /// leave after it. A copy may wait for its connection for long.
+    pub fn recall<'a>(&mut self, parts: impl Iterator<Item = &'a Part>) {
+        for part in parts {
             for (nth, send) in part.sends.iter().enumerate().filter(|(_, s)| s.outcome.is_none()) {
                 let waiting =
                     self.departing.extract_if(.., |(_, (n, p))| p.id == part.id && *n == nth).count();
@@ -303,10 +309,11 @@
         if let Reply::Answered { whole } = reply
             && !multiget.ended
         {
+            self.recall(multiget.parts.iter());
             let most = self.second_steps[multiget.op_type.0];
             return self.second_step(multiget, whole, most);
         }
-        self.recall(multiget);
+        self.recall(multiget.parts.iter());
         let open = self.close(&multiget.id);
         must_hold!(open.is_some(), "a multiget gets one final answer");
         let Some(open) = open else { return };
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -201,6 +201,11 @@
         let ended = Ended { part, nth, outcome, elapsed, closed };
         let noted = self.host.ended(now, &ended, &mut self.desk);
         must_hold!(noted.is_ok(), "an outcome finds its send");
+        if closed
+            && let Some(multiget) = self.desk.owner(&ended.part).and_then(|id| self.host.in_hand().get(id))
+        {
+            self.desk.recall(multiget.parts.iter().filter(|part| part.id == ended.part));
+        }
     }
 
     fn told(&mut self, now: Time, list: List, kind: fn(Vec<Listed>) -> News) {
--- a/crates/lockusher-mixer/tests/stand_in/mod.rs
+++ b/crates/lockusher-mixer/tests/stand_in/mod.rs
@@ -87,21 +87,20 @@
 }
 
 /// A listener whose connections take little that is not read.
-fn little_room() -> std::io::Result<TcpListener> {
+fn listener(backlog: u32) -> std::io::Result<TcpListener> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build()?;
     let _entered = runtime.enter();
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_recv_buffer_size(64 * 1024)?;
     socket.bind("127.0.0.1:0".parse().expect("an address"))?;
-    let listener = socket.listen(64)?.into_std()?;
+    let listener = socket.listen(backlog)?.into_std()?;
     listener.set_nonblocking(false)?;
     Ok(listener)
 }
 
 impl Searcher {
-    pub fn start(name: &str) -> Arc<Self> {
-        let listener = little_room().expect("a port");
-        let searcher = Arc::new(Searcher {
+    fn at(name: &str, listener: &TcpListener) -> Arc<Self> {
+        Arc::new(Searcher {
             name: name.to_owned(),
             address: listener.local_addr().expect("an address"),
             script: Mutex::new(Arc::new(|_| Act::Good)),
@@ -109,11 +108,20 @@
             stuck: Mutex::new(false),
             resumed: Condvar::new(),
             changed: Condvar::new(),
-        });
-        let this = searcher.clone();
+        })
+    }
+
+    pub fn start(name: &str) -> Arc<Self> {
+        let listener = listener(64).expect("a port");
+        let searcher = Self::at(name, &listener);
+        searcher.clone().accept(listener);
+        searcher
+    }
+
+    fn accept(self: Arc<Self>, listener: TcpListener) {
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let this = this.clone();
+                let this = self.clone();
                 this.note(|log| log.opened += 1);
                 thread::spawn(move || {
                     this.serve(stream);
@@ -121,7 +129,21 @@
                 });
             }
         });
-        searcher
+    }
+
+    /// One to which no further connection comes up, until it is let.
+    pub fn clogged(name: &str) -> (Arc<Self>, impl FnOnce()) {
+        let listener = listener(1).expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut full = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+            full.push(stream);
+        }
+        let searcher = Self::at(name, &listener);
+        (searcher.clone(), move || {
+            drop(full);
+            searcher.accept(listener);
+        })
     }
 
     pub fn does(&self, script: impl Fn(&Seen) -> Act + Send + Sync + 'static) {
@@ -351,6 +373,7 @@
     pub most_calls: usize,
     pub most_parts: usize,
     pub idle_ms: u64,
+    pub connect_ms: u64,
     /// Whether it remembers the list, or has only discovery.
     pub knows: bool,
     /// Whether discovery must be asked, and tells nobody else.
@@ -369,6 +392,7 @@
             most_calls: 32,
             most_parts: 1,
             idle_ms: 15_000,
+            connect_ms: 250,
             knows: true,
             asks: false,
         }
@@ -391,7 +415,7 @@
         "limits": {
             "max_attempts": 4, "parallel_tries": setup.effect == "safe", "may_cancel": true, "probes": true, "retry_after": true,
             "max_retry_after_us": 2_000_000, "max_open": setup.most_open, "max_streams": setup.most_calls,
-            "conn_idle_us": setup.idle_ms * 1000, "connect_timeout_us": 250_000,
+            "conn_idle_us": setup.idle_ms * 1000, "connect_timeout_us": setup.connect_ms * 1000,
         },
         "rules": { "cold_from": 0.2, "ramp_time_us": 9_000_000, "fall_multiple": 4.0, "tip_after_us": 1_000_000,
             "ask_every_us": 2_000_000 },
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -287,6 +287,35 @@
     assert_eq!((world.sends("q3").len(), world.sends("q4").len()), (1, 0));
 }
 
+/// Parts that wait for connections which are slow to come up are answered elsewhere meanwhile. Once they left after
+/// all, when the connections came up: five in the middle of a long day.
+#[rstest]
+#[case::another_part_is_still_awaited(0)]
+#[case::the_second_step_is_on(2)]
+fn a_part_that_is_in_is_not_sent_any_more(#[case] second_step: usize) {
+    let world = World::start(Setup { searchers: 1, connect_ms: 10_000, second_step, ..Setup::default() });
+    let clogged = [Searcher::clogged("x"), Searcher::clogged("y")];
+    let mut lines = vec![line(&world.searchers[0], 0, "active")];
+    lines.extend(clogged.iter().enumerate().map(|(i, (s, _))| line(s, i + 1, "active")));
+    world.discovery.tell(2, true, lines);
+    world.discovery.told(2);
+    // One part is in nowhere: part 4, or a second step's.
+    let last = move |part: &Seen| if second_step > 0 { part.id.ends_with(".r") } else { part.shard == 4 };
+    world.all_do(move |part| if last(part) { Act::Silent } else { Act::Good });
+    let mut client = world.client();
+    client.write(&request("q1", &body(&[0, 1, 2, 3, 4, 5])));
+    let others = |sends: &[(String, Seen)]| sends.iter().filter(|(_, part)| !last(part)).count();
+    world.until(|| others(&world.sends("q1")) >= 5 && world.sends("q1").iter().any(|(_, part)| last(part)));
+    let clogged = clogged.map(|(searcher, unclog)| {
+        unclog();
+        searcher
+    });
+    // Of the one that is awaited some leave.
+    let came = || clogged.iter().flat_map(|searcher| searcher.log().parts).collect::<Vec<_>>();
+    world.until(|| !came().is_empty());
+    assert!(came().iter().all(last), "{:?}", came());
+}
+
 #[rstest]
 fn an_id_in_hand_is_not_taken_twice() {
     let world = World::start(Setup::default());
