An answer does not overtake a copy that has just left; large bodies shut out no usual ones

Now an answer waits until such a frame must have arrived: a fiftieth of the connect time-out, a tenth where nothing has come on the connection yet.

--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -5,6 +5,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use lockusher::interface::*;
@@ -21,7 +22,7 @@
 struct Open {
     number: u64,
     text: Bytes,
-    reply: oneshot::Sender<Given>,
+    reply: oneshot::Sender<(Given, Instant)>,
     /// Multiget and parts, as they count against what may be in hand.
     weight: usize,
     /// Score and value of each part that came in.
@@ -107,7 +108,7 @@
         self.open.len()
     }
 
-    pub fn take(&mut self, number: u64, request: Request, reply: oneshot::Sender<Given>) {
+    pub fn take(&mut self, number: u64, request: Request, reply: oneshot::Sender<(Given, Instant)>) {
         let weight = 1 + request.parts.len();
         self.held += weight;
         let (text, values) = (request.text, HashMap::new());
@@ -328,8 +329,15 @@
                 Given::Answer(client::answer(whole, parts.filter_map(|p| Some((p.shard, value(p)?)))))
             }
         };
+        // The answer must not overtake a copy that has just left: nothing is sent after it.
+        let out = |part: &Part, nth: usize| self.searchers.on_its_way(&part.sends[nth].to, &part.id, nth);
+        let all = multiget
+            .parts
+            .iter()
+            .flat_map(|part| (0..part.sends.len()).filter_map(move |nth| out(part, nth)));
+        let not_before = all.max().unwrap_or_else(Instant::now);
         // A client that went away meanwhile is no longer there to be told.
-        let _ = open.reply.send(given);
+        let _ = open.reply.send((given, not_before));
     }
 
     fn subscribe(&mut self) {
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -31,12 +31,12 @@
     Stop,
 }
 
-/// A multiget, and the way back to its client.
+/// A multiget, and the way back to its client, with the time before which it must not be written.
 pub struct Asked {
     pub request: Request,
     /// When its last byte was read.
     pub at: Instant,
-    pub reply: oneshot::Sender<Given>,
+    pub reply: oneshot::Sender<(Given, Instant)>,
 }
 
 /// What a client is given.
@@ -165,11 +165,12 @@
             return; // Its client went away while it waited here.
         }
         if self.desk.holds(&request.id) || self.host.in_hand().contains_key(&request.id) {
-            let _ = reply.send(Given::Unusable(Unusable::new(409, "a multiget of this id is in hand")));
+            let unusable = Unusable::new(409, "a multiget of this id is in hand");
+            let _ = reply.send((Given::Unusable(unusable), at));
             return;
         }
         if self.stopped || self.desk.held() + 1 + request.parts.len() > self.sockets.most_open {
-            let _ = reply.send(Given::PushedBack(None));
+            let _ = reply.send((Given::PushedBack(None), at));
             return;
         }
         self.next_number += 1;
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::header::{CONTENT_TYPE, RETRY_AFTER, UPGRADE};
@@ -192,6 +192,9 @@
     }
 }
 
+/// What a usual body takes: so much of each has its place with its connection, whatever large ones hold.
+const SMALL_BODY: usize = 8 * 1024;
+
 /// Bytes of bodies, as long as they are kept.
 struct Kept<'a> {
     all: &'a Cell<usize>,
@@ -236,12 +239,13 @@
         if body.len() + chunk.len() > MOST_BODY {
             return Err(too_large());
         }
-        if desk.bodies.get() + chunk.len() > desk.sockets.most_bytes {
+        body.extend_from_slice(&chunk);
+        let large = body.len().saturating_sub(SMALL_BODY) - kept.bytes;
+        if large > 0 && desk.bodies.get() + large > desk.sockets.most_bytes {
             return Err(Unusable::new(503, "too much is waiting"));
         }
-        kept.bytes += chunk.len();
-        desk.bodies.set(desk.bodies.get() + chunk.len());
-        body.extend_from_slice(&chunk);
+        kept.bytes += large;
+        desk.bodies.set(desk.bodies.get() + large);
     }
     let at = usage.whole();
     // A mixer that had to stand still reads a request and its client's going at once: nothing is sent for one
@@ -264,7 +268,12 @@
         () = usage.left() => return Ok(plain(500, "its client has gone")),
     };
     waiting.id = None;
-    Ok(match given {
+    if let Ok((_, not_before)) = &given
+        && *not_before > Instant::now()
+    {
+        tokio::time::sleep_until((*not_before).into()).await;
+    }
+    Ok(match given.map(|(given, _)| given) {
         Ok(Given::Answer(body)) => {
             let mut response = Response::build(StatusCode::OK);
             response.insert_header((CONTENT_TYPE, "application/json")).body(body).map_into_boxed_body()
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -170,6 +170,16 @@
         unsent
     }
 
+    /// A frame written just now may reach its searcher after what is written to a client next: until when that is
+    /// so. It takes longer on a connection on which nothing has come yet, as its first frame waits for a handshake.
+    pub fn on_its_way(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<Instant> {
+        let connection = self.carrier(to, part, nth)?;
+        let written = connection.out.borrow().get(part).filter(|out| out.way == Way::Written)?.at;
+        let share = if connection.met.get() { 50 } else { 10 };
+        let until = written + duration(self.sockets.connect_timeout) / share;
+        (until > Instant::now()).then_some(until)
+    }
+
     fn carrier(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<&Rc<Connection>> {
         let mut connections = self.connections.get(to).into_iter().flatten();
         connections.find(|c| c.out.borrow().get(part).is_some_and(|out| out.nth == nth))
@@ -219,8 +229,9 @@
     calls: RefCell<HashMap<u64, usize>>,
     next_call: Cell<u64>,
     used: Cell<Instant>,
-    /// When a frame last came.
+    /// When a frame last came, and whether any did.
     heard: Cell<Instant>,
+    met: Cell<bool>,
     /// Parts that were given up and may be answered yet, and some that were answered: of these, and of no
     /// others, a further answer may come.
     given_up: RefCell<VecDeque<PartId>>,
@@ -256,6 +267,7 @@
             next_call: Cell::new(0),
             used: Cell::new(Instant::now()),
             heard: Cell::new(Instant::now()),
+            met: Cell::new(false),
             given_up: RefCell::default(),
             answered: RefCell::default(),
             spoilt: Cell::new(None),
@@ -296,6 +308,7 @@
     /// A frame has come.
     fn hears(&self) {
         self.heard.set(Instant::now());
+        self.met.set(true);
         self.doubted.set(false);
         if let Some(silent) = self.instead_of.take().filter(|doubted| doubted.doubted.get()) {
             silent.spoilt.set(Some(Outcome::Lost));
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -211,6 +211,23 @@
     });
 }
 
+/// An answer must not overtake a frame that has just left for a searcher.
+#[rstest]
+fn what_has_just_left_is_known_to_be_on_its_way() {
+    on_connections(Setup { connect_ms: 500_000, ..Setup::default() }, async move |searcher, searchers, _| {
+        let (to, part) = (SearcherId::new("s0"), PartId::new("q.1"));
+        searcher.does(|_| Act::Silent);
+        assert!(searchers.send(&to, call(1)).is_ok());
+        assert_eq!(searchers.on_its_way(&to, &part, 0), None, "it has not left");
+        while searcher.log().parts.is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(searchers.on_its_way(&to, &part, 0).is_some_and(|until| until > Instant::now()));
+        searchers.give_up(&to, &part, 0);
+        assert_eq!(searchers.on_its_way(&to, &part, 0), None);
+    });
+}
+
 /// A connection on which a send waited in vain and nothing has come since takes nothing new; and with no descriptor
 /// left, one that is unused elsewhere makes room.
 #[rstest]
@@ -518,15 +535,17 @@
     assert!(world.runs());
 }
 
-/// Requests that never end take every place; each is closed once no client would still wait for its answer. One
+/// Requests that never end take every place and all room for bodies, at which usual ones were once pushed back; each is closed once no client would still wait for its answer. One
 /// that was accepted but not read yet was once taken for unused, and all waited for it to close.
 #[rstest]
 fn a_flood_of_half_requests_does_not_shut_others_out() {
     let mut world = World::start(Setup { sockets: 256, memory_mb: 32, ..Setup::default() });
-    let mut flood: Vec<Client> = (0..200).map(|_| world.client()).collect();
-    for (i, client) in flood.iter_mut().enumerate() {
+    // First large ones, then ones that fill what these leave of the room for bodies.
+    let sizes = [[63_000; 70].as_slice(), &[1_000; 60], &[50; 60]].concat();
+    let mut flood: Vec<Client> = sizes.iter().map(|_| world.client()).collect();
+    for (i, (client, size)) in flood.iter_mut().zip(sizes).enumerate() {
         let head = head(&format!("f{i}"), "900m");
-        client.try_write(format!("{head}Content-Length: 64000\r\n\r\n{}", "x".repeat(63_000)).as_bytes());
+        client.try_write(format!("{head}Content-Length: 64000\r\n\r\n{}", "x".repeat(size)).as_bytes());
     }
     assert!(world.most_memory() < 32 * 1024, "{} KB", world.most_memory());
     assert_eq!(world.client().ask("q1", &[1, 2, 3]).status, 200);
