A frame is written only while its client is there; room for clients is made ahead

A mixer has 0.2 of a core and may stand still in the middle of a batch; what it writes after that may be for clients that have left meanwhile, whose going it has not read. Now the system is asked for each part as its frame is written. Not enough before: reading sockets first, taking back what waits.

--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -13,16 +13,18 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::Given;
+use crate::clock::duration;
 use crate::must_hold;
 use crate::protocol::client::{self, Request};
 use crate::protocol::frame::CallPart;
-use crate::transport::searchers::{Searchers, Sent};
+use crate::transport::searchers::{Searchers, Sent, Wanted};
 
 /// A multiget without its final answer.
 struct Open {
     number: u64,
     text: Bytes,
     reply: oneshot::Sender<(Given, Instant)>,
+    wanted: Wanted,
     /// Multiget and parts, as they count against what may be in hand.
     weight: usize,
     /// Score and value of each part that came in.
@@ -108,13 +110,29 @@
         self.open.len()
     }
 
-    pub fn take(&mut self, number: u64, request: Request, reply: oneshot::Sender<(Given, Instant)>) {
+    pub fn take(
+        &mut self,
+        number: u64,
+        request: Request,
+        reply: oneshot::Sender<(Given, Instant)>,
+        wanted: Wanted,
+    ) {
         let weight = 1 + request.parts.len();
         self.held += weight;
         let (text, values) = (request.text, HashMap::new());
         self.open.insert(
             request.id,
-            Open { number, text, reply, weight, values, bytes: 0, parts: Vec::new(), first_step: None },
+            Open {
+                number,
+                text,
+                reply,
+                wanted,
+                weight,
+                values,
+                bytes: 0,
+                parts: Vec::new(),
+                first_step: None,
+            },
         );
     }
 
@@ -177,7 +195,7 @@
     }
 
     fn cease(&mut self, part: &PartId, nth: usize) {
-        self.departing.retain(|(_, (n, p))| p.id != *part || *n != nth);
+        self.departing.retain(|(_, (n, p, _))| p.id != *part || *n != nth);
         if let Some((to, _)) = self.out.get(&(part.clone(), nth)) {
             self.searchers.give_up(to, part, nth);
         }
@@ -222,7 +240,7 @@
         }
         for (to, call) in calls {
             let refused = self.searchers.send(&to, call).err().into_iter().flatten();
-            self.ended.extend(refused.map(|(nth, part)| (part.id, nth, Outcome::Moot)));
+            self.ended.extend(refused.map(|(nth, part, _)| (part.id, nth, Outcome::Moot)));
         }
     }
 
@@ -252,7 +270,7 @@
         for part in parts {
             for (nth, send) in part.sends.iter().enumerate().filter(|(_, s)| s.outcome.is_none()) {
                 let waiting =
-                    self.departing.extract_if(.., |(_, (n, p))| p.id == part.id && *n == nth).count();
+                    self.departing.extract_if(.., |(_, (n, p, _))| p.id == part.id && *n == nth).count();
                 if waiting > 0 || self.searchers.recall(&send.to, &part.id, nth) {
                     self.ended.push((part.id.clone(), nth, Outcome::Moot));
                 }
@@ -299,7 +317,8 @@
         self.time_outs.push(Reverse((self.now + order.timeout, id.clone(), nth)));
         let first_step = open.first_step.clone().filter(|_| part.second_step);
         let (shard, wait, text) = (part.shard, order.timeout, open.text.clone());
-        self.departing.push((order.to.clone(), (nth, CallPart { id, shard, wait, first_step, text })));
+        let call = CallPart { id, shard, wait, first_step, text };
+        self.departing.push((order.to.clone(), (nth, call, open.wanted.clone())));
     }
 
     fn withdraw(&mut self, part: &PartId, nth: usize) {
@@ -335,7 +354,10 @@
             .parts
             .iter()
             .flat_map(|part| (0..part.sends.len()).filter_map(move |nth| out(part, nth)));
-        let not_before = all.max().unwrap_or_else(Instant::now);
+        let not_before = all.max().map_or_else(Instant::now, |until| {
+            // Not for long where little time is left.
+            until.min(Instant::now() + duration(multiget.ends.since(self.now)) / 2)
+        });
         // A client that went away meanwhile is no longer there to be told.
         let _ = open.reply.send((given, not_before));
     }
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -18,7 +18,7 @@
 use crate::must_hold;
 use crate::protocol::client::{Request, Unusable};
 use crate::protocol::discovery::List;
-use crate::transport::searchers::Searchers;
+use crate::transport::searchers::{Searchers, Wanted};
 use desk::Desk;
 
 /// What comes to the router.
@@ -37,6 +37,7 @@
     /// When its last byte was read.
     pub at: Instant,
     pub reply: oneshot::Sender<(Given, Instant)>,
+    pub wanted: Wanted,
 }
 
 /// What a client is given.
@@ -160,7 +161,7 @@
         }
     }
 
-    fn asked(&mut self, now: Time, Asked { request, at, reply }: Asked) {
+    fn asked(&mut self, now: Time, Asked { request, at, reply, wanted }: Asked) {
         if reply.is_closed() {
             return; // Its client went away while it waited here.
         }
@@ -191,7 +192,7 @@
             let (shard, weight, hint) = (part.shard, part.weight, part.hint);
             self.host.join(now, number, NewPart { id, shard, weight, hint });
         }
-        self.desk.take(number, request, reply);
+        self.desk.take(number, request, reply, wanted);
     }
 
     /// The end of a send, once; `at` is when it was heard of, if before now.
--- a/crates/lockusher-mixer/src/transport/client_stream.rs
+++ b/crates/lockusher-mixer/src/transport/client_stream.rs
@@ -4,11 +4,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -18,7 +21,7 @@
 /// A request is whole within this of its first byte, the first one of its connection's start: bad clients are
 /// owed an end within 3 s.
 const WHOLE: Duration = Duration::from_millis(2_500);
-/// A connection that never asked for anything is closed after this; the protocol's pages allow it.
+/// A connection that never asked for a multiget is closed after this without use; the protocol's pages allow it.
 const SILENT: Duration = Duration::from_millis(2_000);
 /// A usual request comes in at once: with no place left, one that takes longer makes room.
 const SLOW: Duration = Duration::from_millis(250);
@@ -40,13 +43,15 @@
     refused: Cell<bool>,
     /// Bytes of an answer wait for the client to read.
     unwritten: Cell<bool>,
-    /// It has had an answer.
+    /// It has had an answer; one to what it asked searchers for.
+    answered: Cell<bool>,
     served: Cell<bool>,
     used: Cell<Instant>,
     closing: Cell<Closing>,
     reader: RefCell<Option<Waker>>,
     gone: Cell<bool>,
     left: Notify,
+    stream: Weak<TcpStream>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -69,12 +74,14 @@
             whole: Cell::new(false),
             refused: Cell::new(false),
             unwritten: Cell::new(false),
+            answered: Cell::new(false),
             served: Cell::new(false),
             used: Cell::new(now),
             closing: Cell::new(Closing::No),
             reader: RefCell::default(),
             gone: Cell::new(false),
             left: Notify::new(),
+            stream: Weak::new(),
         }
     }
 }
@@ -95,13 +102,14 @@
         self.last_read.get()
     }
 
-    /// The request with its handler has its answer.
-    pub fn answered(&self) {
+    /// The request with its handler has its answer; `served` if it was a multiget.
+    pub fn answered(&self, served: bool) {
         self.asked.set(false);
         self.whole.set(false);
         // What has come behind it begins another.
         self.began.set((self.ahead.get() > 0).then(|| self.last_read.get()));
-        self.served.set(true);
+        self.answered.set(true);
+        self.served.set(self.served.get() || served);
         self.used.set(Instant::now());
         self.wake();
     }
@@ -115,8 +123,13 @@
         self.refused.set(true);
     }
 
-    pub fn gone(&self) -> bool {
-        self.gone.get()
+    /// Whether its client is there: asks the system, as a mixer that had to stand still has not read it yet.
+    pub fn present(&self) -> bool {
+        let Some(stream) = self.stream.upgrade().filter(|_| !self.gone.get()) else { return false };
+        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(came) => came > 0,
+            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
+        }
     }
 
     /// Ends once the client has gone away.
@@ -132,7 +145,7 @@
 
     /// Whether it has said nothing for too long, or takes too long to say what it wants.
     fn overdue(&self) -> bool {
-        let begun = |at: Instant| if self.served.get() { at } else { self.came };
+        let begun = |at: Instant| if self.answered.get() { at } else { self.came };
         match self.began.get() {
             Some(_) if self.whole.get() => false,
             Some(at) => begun(at).elapsed() > WHOLE,
@@ -140,7 +153,7 @@
             // Its client does not read.
             None if self.unwritten.get() => self.used.get().elapsed() > WHOLE,
             None if self.served.get() => self.used.get().elapsed() > UNUSED,
-            None => self.came.elapsed() > SILENT,
+            None => self.used.get().elapsed() > SILENT,
         }
     }
 
@@ -157,7 +170,7 @@
 }
 
 pub struct ClientStream {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     pub usage: Rc<Usage>,
     /// It has read in this turn: the next read is another turn's, so that what is read is used before.
     rests: bool,
@@ -165,7 +178,23 @@
 
 impl ClientStream {
     pub fn new(stream: TcpStream) -> Self {
-        ClientStream { stream, usage: Rc::default(), rests: false }
+        let stream = Rc::new(stream);
+        let usage = Rc::new(Usage { stream: Rc::downgrade(&stream), ..Usage::default() });
+        ClientStream { stream, usage, rests: false }
+    }
+
+    fn poll_come(&self, cx: &mut Context<'_>, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(came) => {
+                    buf.advance(came);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
     }
 }
 
@@ -184,7 +213,7 @@
                 return Poll::Ready(Ok(())); // A head that does not end.
             }
             let before = buf.filled().len();
-            match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            match self.poll_come(cx, buf) {
                 Poll::Pending => {}
                 read => {
                     let came = buf.filled().len() - before;
@@ -215,8 +244,16 @@
 }
 
 impl AsyncWrite for ClientStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = loop {
+            match self.stream.poll_write_ready(cx)? {
+                Poll::Pending => break Poll::Pending,
+                Poll::Ready(()) => match self.stream.try_write(buf) {
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    written => break Poll::Ready(written),
+                },
+            }
+        };
         self.usage.unwritten.set(written.is_pending());
         if written.is_pending() && self.usage.closing.get() == Closing::Now {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
@@ -224,12 +261,12 @@
         written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
 
@@ -262,8 +299,8 @@
         open.values().filter(|usage| usage.overdue()).for_each(|usage| usage.close(Closing::Now));
     }
 
-    /// Makes room for another: closes one that never had an answer and is silent or has been long in asking, else
-    /// one that was used, between two requests; of these the longest unused.
+    /// Makes room for another: closes one that never asked for a multiget and is silent or has been long in asking,
+    /// else one that was used, between two requests; of these the longest unused.
     pub fn make_room(&self) {
         let open = self.open.borrow();
         let closable = open.values().filter_map(|usage| {
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -26,10 +26,13 @@
 use crate::protocol::client::{self, Head, Unusable};
 use crate::routing::{Arrival, Asked, Given};
 use crate::transport::client_stream::{ClientStream, Connections, Usage};
+use crate::transport::searchers::Wanted;
 
 /// How long accepting pauses when it can't go on, so that it neither spins nor keeps anyone waiting.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// Places that are kept free, about as many as are closed at once.
+const AHEAD: usize = 8;
 /// How often connections are looked through for those to be closed.
 const LOOK: Duration = Duration::from_millis(250);
 /// How long a refusal may take to reach a client that is still sending.
@@ -103,8 +106,9 @@
             };
             let _ = stream.set_nodelay(true);
             // With no place left the next ones wait in the listener's backlog until one can be closed.
+            // Room is made some places ahead, so that a crowd does not wait for each to be closed.
             let place = loop {
-                if places.available_permits() == 0 {
+                if places.available_permits() < AHEAD {
                     // Those just accepted are read first, and show what they are.
                     tokio::task::yield_now().await;
                     connections.make_room();
@@ -163,7 +167,7 @@
             }
         },
     };
-    usage.answered();
+    usage.answered(request.path() != client::UP && !response.status().is_client_error());
     if desk.closes() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
@@ -207,7 +211,11 @@
     }
 }
 
-async fn multiget(request: &mut Request, desk: &Desk, usage: &Usage) -> Result<Response<BoxBody>, Unusable> {
+async fn multiget(
+    request: &mut Request,
+    desk: &Desk,
+    usage: &Rc<Usage>,
+) -> Result<Response<BoxBody>, Unusable> {
     let mut payload = request.take_payload();
     let headers = request.headers();
     if let Some(name) = client::ONCE.into_iter().find(|name| headers.get_all(*name).count() > 1) {
@@ -251,14 +259,16 @@
     // A mixer that had to stand still reads a request and its client's going at once: nothing is sent for one
     // that is gone by now.
     tokio::task::yield_now().await;
-    if usage.gone() {
+    if !usage.present() {
         return Ok(plain(500, "its client has gone"));
     }
     let request = client::decode(&head, &body, &desk.names, desk.sockets.shards)?;
     drop(body);
     let (reply, answer) = oneshot::channel();
     let id = request.id.clone();
-    if desk.queue.try_send(Arrival::Asked(Box::new(Asked { request, at, reply }))).is_err() {
+    let present = usage.clone();
+    let wanted: Wanted = Rc::new(move || present.present());
+    if desk.queue.try_send(Arrival::Asked(Box::new(Asked { request, at, reply, wanted }))).is_err() {
         return Ok(plain(503, "too much is waiting"));
     }
     let mut waiting = Waiting { desk, id: Some(id) };
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -20,8 +20,10 @@
 use crate::routing::{Arrival, SendEnded};
 use crate::{log, must_hold};
 
+/// Whether anyone still waits for a part.
+pub type Wanted = Rc<dyn Fn() -> bool>;
 /// A part with the number of its send.
-pub type Sent = (usize, CallPart);
+pub type Sent = (usize, CallPart, Wanted);
 /// One that had not left.
 pub type Unsent = (PartId, usize);
 
@@ -332,7 +334,7 @@
         let (mut unsent, mut outbox) = (Vec::new(), self.outbox.borrow_mut());
         outbox.retain(|outgoing| {
             let Outgoing::Call(parts) = outgoing else { return true };
-            unsent.extend(parts.iter().map(|(nth, part)| (part.id.clone(), *nth)));
+            unsent.extend(parts.iter().map(|(nth, part, _)| (part.id.clone(), *nth)));
             false
         });
         drop(outbox);
@@ -346,7 +348,7 @@
     fn take(&self, call: Vec<Sent>) {
         let number = self.next_call.replace(self.next_call.get() + 1);
         self.calls.borrow_mut().insert(number, call.len());
-        for (nth, part) in &call {
+        for (nth, part, _) in &call {
             let before = self.out.borrow_mut().insert(
                 part.id.clone(),
                 Out { nth: *nth, call: number, way: Way::Waiting, at: Instant::now() },
@@ -379,7 +381,7 @@
         let mut outbox = self.outbox.borrow_mut();
         for outgoing in outbox.iter_mut() {
             if let Outgoing::Call(parts) = outgoing {
-                parts.retain(|(_, p)| p.id != *part);
+                parts.retain(|(_, p, _)| p.id != *part);
             }
         }
         outbox.retain(|o| !matches!(o, Outgoing::Call(parts) if parts.is_empty()));
@@ -454,16 +456,21 @@
                 continue;
             };
             match outgoing {
-                Outgoing::Call(parts) => {
+                Outgoing::Call(mut parts) => {
+                    // What nobody waits for any more stays here until the router gives it up.
+                    parts.retain(|(.., wanted)| wanted());
+                    if parts.is_empty() {
+                        continue;
+                    }
                     let now = |way| {
                         let mut out = self.out.borrow_mut();
-                        for (_, part) in &parts {
+                        for (_, part, _) in &parts {
                             out.entry(part.id.clone())
                                 .and_modify(|out| (out.way, out.at) = (way, Instant::now()));
                         }
                     };
                     now(Way::Writing);
-                    frames.send(frame::call(parts.iter().map(|(_, part)| part))).await?;
+                    frames.send(frame::call(parts.iter().map(|(_, part, _)| part))).await?;
                     now(Way::Written);
                 }
                 Outgoing::GivenUp(part) => frames.send(frame::given_up(&part)).await?,
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -3,6 +3,7 @@
 mod stand_in;
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,7 +12,7 @@
 use lockusher_mixer::config;
 use lockusher_mixer::protocol::frame::CallPart;
 use lockusher_mixer::routing::Arrival;
-use lockusher_mixer::transport::searchers::Searchers;
+use lockusher_mixer::transport::searchers::{Searchers, Sent, Wanted};
 use rstest::rstest;
 use serde_json::json;
 use stand_in::*;
@@ -211,6 +212,20 @@
     });
 }
 
+/// A mixer that stands still in the middle of a batch writes the rest of it later: by then a client may have gone.
+#[rstest]
+fn what_nobody_waits_for_any_more_is_not_written() {
+    on_connections(Setup::default(), async move |searcher, searchers, arrivals| {
+        let to = SearcherId::new("s0");
+        let unwanted =
+            call(1).into_iter().map(|(nth, part, _)| (nth, part, Rc::new(|| false) as Wanted)).collect();
+        assert!(searchers.send(&to, unwanted).is_ok() && searchers.send(&to, call(2)).is_ok());
+        assert!(matches!(arrivals.recv().await, Some(Arrival::Ended(e)) if e.part.as_str() == "q.2"));
+        assert!(searchers.recall(&to, &PartId::new("q.1"), 0), "it can be taken back");
+        assert_eq!(searcher.log().parts.len(), 1);
+    });
+}
+
 /// An answer must not overtake a frame that has just left for a searcher.
 #[rstest]
 fn what_has_just_left_is_known_to_be_on_its_way() {
@@ -520,7 +535,7 @@
     assert_eq!(world.client().ask("q3", &[1, 2]).status, 200, "there is room again");
 }
 
-/// Connections that never ask for anything must not shut others out, nor take the descriptors that
+/// Connections that never ask for anything, or only how the mixer is, must not shut others out, nor take the descriptors that
 /// searchers and discovery need.
 #[rstest]
 fn a_flood_of_idle_connections_leaves_room_for_those_that_ask() {
@@ -528,6 +543,12 @@
     let mut used = world.client();
     assert_eq!(used.ask("q0", &[1]).status, 200);
     let mut flood: Vec<Client> = (0..300).map(|_| world.client()).collect();
+    for _ in 0..100 {
+        let mut health = world.client();
+        health.write(b"GET /up HTTP/1.1\r\nHost: app\r\n\r\n");
+        assert_eq!(health.read().expect("an answer").status, 200);
+        flood.push(health);
+    }
     assert_eq!(world.client().ask("q1", &[1, 2, 3]).status, 200);
     assert_eq!(used.ask("q2", &[1]).status, 200, "one that was used is kept before those that never were");
     // Those that were closed for it were told so, and none was answered what it never asked.
@@ -680,9 +701,13 @@
 }
 
 /// A part as the router hands it over, by its shard.
-fn call(shard: usize) -> Vec<(usize, CallPart)> {
+fn call(shard: usize) -> Vec<Sent> {
     let (id, wait) = (PartId::new(&format!("q.{shard}")), Span::from_millis(4_000));
-    vec![(0, CallPart { id, shard: Shard(shard), wait, first_step: None, text: "x".into() })]
+    vec![(
+        0,
+        CallPart { id, shard: Shard(shard), wait, first_step: None, text: "x".into() },
+        Rc::new(|| true),
+    )]
 }
 
 /// Connections to one searcher without a router.
