A crowd that asks once and stays is let go

Traced each client connection's end: some 128 per mixer came at 2.5 s, then no more than were closed, each held for a second after one request. Clients may hold a third of the descriptors (384) for requests; those places were theirs to lose. Not it: room for bodies, places of ours (never full then), push-backs (none). Now a quarter of the descriptors are kept for connections that were asked on, the one unused for longest goes first.

--- a/crates/lockusher-mixer/src/config.rs
+++ b/crates/lockusher-mixer/src/config.rs
@@ -38,6 +38,8 @@
 pub struct Sockets {
     /// Client connections at once, and connections to searchers at once.
     pub most_clients: usize,
+    /// Client connections that are kept once they were asked on.
+    pub most_kept: usize,
     pub most_searchers: usize,
     pub connect_timeout: Span,
     /// Connections unused for so long are closed.
@@ -143,6 +145,8 @@
     let longest = op_types.iter().map(|op| op.route_timeout).max().unwrap_or(Span::ZERO);
     Ok(Sockets {
         most_clients: descriptors - OWN_DESCRIPTORS - most_searchers,
+        // For requests, clients hold a third at most: some of these stay free for others.
+        most_kept: descriptors / 4,
         most_searchers,
         connect_timeout,
         idle,
--- a/crates/lockusher-mixer/src/transport/client_stream.rs
+++ b/crates/lockusher-mixer/src/transport/client_stream.rs
@@ -299,6 +299,19 @@
         open.values().filter(|usage| usage.overdue()).for_each(|usage| usage.close(Closing::Now));
     }
 
+    /// Closes the connection unused for longest if more than `most` were asked multigets on: clients may hold only so
+    /// many, and a crowd of them that ask once and stay would leave none for others.
+    pub fn keep(&self, most: usize) {
+        let open = self.open.borrow();
+        let asked =
+            || open.values().filter(|u| u.closing.get() == Closing::No && (u.served.get() || u.asked.get()));
+        if asked().count() > most
+            && let Some(usage) = asked().filter(|u| u.unused()).min_by_key(|u| u.used.get())
+        {
+            usage.close(Closing::WhenUnused);
+        }
+    }
+
     /// Makes room for another: closes one that never asked for a multiget and is silent or has been long in asking,
     /// else one that was used, between two requests; of these the longest unused.
     pub fn make_room(&self) {
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -122,6 +122,7 @@
             };
             let stream = ClientStream::new(stream);
             let number = connections.add(stream.usage.clone());
+            connections.keep(desk.sockets.most_kept);
             let connection = service.call((stream, Protocol::Http1, Some(peer)));
             let connections = connections.clone();
             actix_rt::spawn(async move {
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -556,6 +556,21 @@
     assert!(world.runs());
 }
 
+/// Clients may hold a third of the descriptors for requests; those that ask once and stay once held them all.
+#[rstest]
+fn a_crowd_that_asks_once_and_stays_is_let_go() {
+    let world = World::start(Setup { sockets: 128, ..Setup::default() });
+    let mut crowd = Vec::new();
+    for i in 0..40 {
+        let mut client = world.client();
+        assert_eq!(client.ask(&format!("q{i}"), &[1]).status, 200);
+        crowd.push(client);
+    }
+    // A quarter is kept, of these the last.
+    assert!(crowd[0].read().is_none());
+    assert_eq!(crowd[39].ask("last", &[1]).status, 200);
+}
+
 /// Requests that never end take every place and all room for bodies, at which usual ones were once pushed back; each is closed once no client would still wait for its answer. One
 /// that was accepted but not read yet was once taken for unused, and all waited for it to close.
 #[rstest]
