--- a/crates/lockusher-host/src/settings.rs
+++ b/crates/lockusher-host/src/settings.rs
@@ -233,6 +233,7 @@
 }
 
 /// The names that the settings give to what the module knows by number.
+#[derive(Clone, Default)]
 pub struct Names {
     pub op_types: BTreeMap<String, OpTypeId>,
     pub tenants: BTreeMap<String, TenantId>,
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -214,7 +214,7 @@
 }
 
 /// One line of the list of searchers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
     pub id: SearcherId,
     pub cell: Cell,
