--- /dev/null
+++ b/crates/lockusher-registry/src/io/etcd.rs
@@ -0,0 +1,211 @@
+//! etcd's v3 API over gRPC: services KV and Watch as published.
+
+use lockusher::interface::Span;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Status};
+
+use super::{Ear, MOST_ANSWER};
+use crate::core::entry::{Change, ClusterId, Entry, Revision};
+use crate::core::follow::Heard;
+use crate::core::view::Version;
+use crate::etcdserverpb as pb;
+
+/// What one endpoint is asked over one connection.
+pub struct Session {
+    channel: Result<Channel, String>,
+    prefix: Vec<u8>,
+    requests: mpsc::Sender<pb::WatchRequest>,
+    /// The other end, until a watch takes it.
+    outgoing: Option<mpsc::Receiver<pb::WatchRequest>>,
+}
+
+/// The end of a range that holds all keys with a prefix: the prefix with its last byte raised, as the API says;
+/// a single zero byte means all keys.
+pub fn range_end(prefix: &[u8]) -> Vec<u8> {
+    let kept = prefix.iter().rposition(|byte| *byte < 0xff);
+    match kept {
+        Some(last) => {
+            let mut end = prefix[..=last].to_vec();
+            end[last] += 1;
+            end
+        }
+        None => vec![0],
+    }
+}
+
+fn version(header: Option<pb::ResponseHeader>) -> Version {
+    let header = header.unwrap_or_default();
+    Version { cluster: ClusterId(header.cluster_id), revision: Revision(header.revision.max(0) as u64) }
+}
+
+fn name_of(key: &[u8], prefix: &[u8]) -> String {
+    String::from_utf8_lossy(key.strip_prefix(prefix).unwrap_or(key)).into_owned()
+}
+
+fn failed(status: &Status) -> Heard {
+    // The published error of a read at a revision that is gone.
+    if status.code() == Code::OutOfRange && status.message().contains("compacted") {
+        return Heard::Compacted;
+    }
+    Heard::Failed { why: format!("{}: {}", status.code(), status.message()) }
+}
+
+impl Session {
+    pub fn new(endpoint: &str, prefix: &str, patience: Span) -> Self {
+        let patience = Duration::from_micros(patience.as_micros());
+        let channel = Endpoint::from_shared(format!("http://{endpoint}"))
+            .map(|endpoint| endpoint.connect_timeout(patience).tcp_nodelay(true).connect_lazy())
+            .map_err(|e| e.to_string());
+        // Places for a watch's beginning and for what asks how far it has come.
+        let (requests, outgoing) = mpsc::channel(4);
+        Session { channel, prefix: prefix.as_bytes().to_vec(), requests, outgoing: Some(outgoing) }
+    }
+
+    pub fn ask_progress(&self) {
+        let request = pb::watch_request::RequestUnion::ProgressRequest(pb::WatchProgressRequest {});
+        // A full queue means that the endpoint takes nothing; the follower notices its silence.
+        let _ = self.requests.try_send(pb::WatchRequest { request_union: Some(request) });
+    }
+
+    pub fn read(
+        &self,
+        ear: Ear,
+        after: Option<Vec<u8>>,
+        limit: u32,
+        at: Option<Revision>,
+    ) -> impl Future<Output = ()> + use<> {
+        let (channel, prefix) = (self.channel.clone(), self.prefix.clone());
+        async move {
+            let channel = match channel {
+                Ok(channel) => channel,
+                Err(why) => {
+                    ear.hear(Heard::Failed { why }).await;
+                    return;
+                }
+            };
+            // The next key there can be: the last one with a zero byte behind it.
+            let key = after.map_or_else(|| prefix.clone(), |last| [&last[..], &[0]].concat());
+            let request = pb::RangeRequest {
+                key,
+                range_end: range_end(&prefix),
+                limit: limit.into(),
+                revision: at.map_or(0, |at| at.0 as i64),
+                serializable: false,
+            };
+            let mut client = pb::kv_client::KvClient::new(channel).max_decoding_message_size(MOST_ANSWER);
+            let heard = match client.range(request).await {
+                Ok(response) => {
+                    let response = response.into_inner();
+                    let last = response.kvs.last().map(|kv| kv.key.clone());
+                    let entry = |kv: pb::KeyValue| Entry {
+                        name: name_of(&kv.key, &prefix),
+                        modified: Revision(kv.mod_revision.max(0) as u64),
+                        value: kv.value,
+                    };
+                    Heard::Page {
+                        version: version(response.header),
+                        entries: response.kvs.into_iter().map(entry).collect(),
+                        more_after: last.filter(|_| response.more),
+                    }
+                }
+                Err(status) => failed(&status),
+            };
+            ear.hear(heard).await;
+        }
+    }
+
+    pub fn watch(&mut self, ear: Ear, start: Revision) -> impl Future<Output = ()> + use<> {
+        let (channel, prefix) = (self.channel.clone(), self.prefix.clone());
+        let create = pb::WatchCreateRequest {
+            key: prefix.clone(),
+            range_end: range_end(&prefix),
+            start_revision: start.0 as i64,
+            progress_notify: true,
+            watch_id: 0,
+            fragment: true,
+        };
+        let request = pb::watch_request::RequestUnion::CreateRequest(create);
+        let _ = self.requests.try_send(pb::WatchRequest { request_union: Some(request) });
+        let outgoing = self.outgoing.take();
+        async move {
+            let why = match (channel, outgoing) {
+                (Ok(channel), Some(outgoing)) => match watched(channel, outgoing, &prefix, &ear).await {
+                    Ok(()) => return,
+                    Err(why) => why,
+                },
+                (Err(why), _) => why,
+                (_, None) => "a second watch on one connection".to_owned(),
+            };
+            ear.hear(Heard::Failed { why }).await;
+        }
+    }
+}
+
+/// Hears a watch to its end; what is told of that end, if anybody still listens.
+async fn watched(
+    channel: Channel,
+    outgoing: mpsc::Receiver<pb::WatchRequest>,
+    prefix: &[u8],
+    ear: &Ear,
+) -> Result<(), String> {
+    let requests = futures_util::stream::unfold(outgoing, async |mut outgoing| {
+        let request = outgoing.recv().await?;
+        Some((request, outgoing))
+    });
+    let mut client = pb::watch_client::WatchClient::new(channel).max_decoding_message_size(MOST_ANSWER);
+    let said = |status: Status| format!("{}: {}", status.code(), status.message());
+    let mut responses = client.watch(requests).await.map_err(said)?.into_inner();
+    while let Some(response) = responses.message().await.map_err(said)? {
+        let heard = read(response, prefix);
+        let over = matches!(heard, Heard::Compacted | Heard::Failed { .. });
+        if !ear.hear(heard).await || over {
+            return Ok(());
+        }
+    }
+    Err("the watch ended".to_owned())
+}
+
+fn read(response: pb::WatchResponse, prefix: &[u8]) -> Heard {
+    let version = version(response.header);
+    if response.canceled {
+        // A start that was compacted away is named; every other end has a reason only.
+        return match response.compact_revision {
+            0 => Heard::Failed { why: format!("the watch was cancelled: {}", response.cancel_reason) },
+            _ => Heard::Compacted,
+        };
+    }
+    if response.created {
+        return Heard::Opened { version };
+    }
+    if response.events.is_empty() && !response.fragment {
+        return Heard::Progress { version };
+    }
+    let change = |event: pb::Event| {
+        let (deleted, kv) =
+            (event.r#type == pb::event::EventType::Delete as i32, event.kv.unwrap_or_default());
+        Change {
+            name: name_of(&kv.key, prefix),
+            modified: Revision(kv.mod_revision.max(0) as u64),
+            value: (!deleted).then_some(kv.value),
+        }
+    };
+    let changes = response.events.into_iter().map(change).collect();
+    Heard::Changes { version, changes, more: response.fragment }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::plain(b"hosts/", b"hosts0")]
+    #[case::last_byte_full(b"a\xff", b"b")]
+    #[case::all_full(b"\xff\xff", b"\0")]
+    #[case::none(b"", b"\0")]
+    fn a_range_ends_behind_all_keys_of_its_prefix(#[case] prefix: &[u8], #[case] end: &[u8]) {
+        assert_eq!(range_end(prefix), end);
+    }
+}
