Command line, operator's settings and structured logs; the mixer follows a registry

Need: the registry and later subsystems must be set somewhere that is not the platform's JSON, and staff need a way to check a file, to look at a registry and to filter logs. Change: clap with serve (the default), check FILE... and registry dump; settings as protobuf text format, checked by proto/settings.proto, faults with line and key; SIGHUP reads both files; GET /registry shows how the registry stands; logs by tracing, text or JSON, limited in rate as before; the log macro goes.

--- a/crates/lockusher-mixer/src/config.rs
+++ b/crates/lockusher-mixer/src/config.rs
@@ -9,13 +9,14 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::protocol::discovery::ListText;
+use lockusher_host::list::ListText;
 
 /// What the mixer is told, checked.
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where it is; nothing if it is not named, which only a registry in its place makes up for.
+    pub discovery: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: Sockets,
     pub known: Option<ListText>,
@@ -25,6 +26,11 @@
 }
 
 impl Config {
+    /// Discovery's address, where nothing else lists the searchers.
+    pub fn needs_discovery(&self) -> Result<SocketAddr> {
+        self.discovery.context("discovery: missing, and LB_DISCOVERY is not set")
+    }
+
     /// The keys that differ in another and can't change in a running process.
     pub fn needs_restart(&self, other: &Config) -> Vec<&'static str> {
         // `known` is read at a start only: by now the process knows better.
@@ -112,7 +118,11 @@
     Ok(Config {
         name: given("name", read.name, "LB_NAME")?,
         listen: address("listen", given("listen", read.listen, "LB_LISTEN")?)?,
-        discovery: address("discovery", given("discovery", read.discovery, "LB_DISCOVERY")?)?,
+        discovery: read
+            .discovery
+            .or_else(|| variable("LB_DISCOVERY"))
+            .map(|at| address("discovery", at))
+            .transpose()?,
         seed,
         sockets,
         known: read.known,
--- a/crates/lockusher-mixer/src/lib.rs
+++ b/crates/lockusher-mixer/src/lib.rs
@@ -1,9 +1,11 @@
 //! The mixer on sockets, by layers: [`transport`] moves bytes, [`protocol`] turns them into typed values and
-//! back, [`routing`] owns the decision module; the program's own concerns are [`config`], [`clock`] and
-//! [`report`].
+//! back, [`routing`] owns the decision module; the program's own concerns are [`program`], [`config`],
+//! [`operator`], [`clock`] and [`report`].
 
 pub mod clock;
 pub mod config;
+pub mod operator;
+pub mod program;
 pub mod protocol;
 pub mod report;
 pub mod routing;
--- /dev/null
+++ b/crates/lockusher-mixer/src/operator.rs
@@ -0,0 +1,194 @@
+//! The operator's own settings file: protobuf text format, checked by `proto/settings.proto`. A message names the
+//! file, the line and the faulty key.
+
+use std::fmt;
+use std::path::Path;
+use std::sync::LazyLock;
+
+use lockusher::interface::Span;
+use lockusher_registry::core::follow::{Plan, Protocol};
+use miette::Diagnostic;
+use prost_reflect::{DescriptorPool, DynamicMessage, MessageDescriptor};
+
+#[allow(missing_docs, clippy::all)]
+mod text {
+    include!(concat!(env!("OUT_DIR"), "/lockusher.rs"));
+}
+
+/// What the operator set, checked; by default all is off.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// The registry that is followed instead of discovery.
+    pub registry: Option<Plan>,
+    pub json_logs: bool,
+    pub level: Level,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Level {
+    Debug,
+    #[default]
+    Info,
+    Warn,
+    Error,
+}
+
+/// What is wrong with a settings file, and where.
+#[derive(Debug, PartialEq)]
+pub struct Faulty {
+    /// Counted from 1; 0 if it concerns the file as a whole.
+    pub line: usize,
+    pub why: String,
+}
+
+impl fmt::Display for Faulty {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}", self.why),
+            line => write!(f, "line {line}: {}", self.why),
+        }
+    }
+}
+
+impl std::error::Error for Faulty {}
+
+static SETTINGS: LazyLock<MessageDescriptor> = LazyLock::new(|| {
+    let pool = DescriptorPool::decode(include_bytes!(concat!(env!("OUT_DIR"), "/settings.bin")).as_slice());
+    let settings = pool.ok().and_then(|pool| pool.get_message_by_name("lockusher.Settings"));
+    settings.expect("the proto compiled in has them")
+});
+
+/// Shorter, and an endpoint under load would count as silent.
+const LEAST_SILENCE: u32 = 200;
+/// Reads that may be held longer than this outlive what proxies allow; Consul's own limit.
+const LONGEST_WAIT: u32 = 600_000;
+
+/// Reads a settings file; `None` names none, and all is off.
+pub fn load(path: Option<&Path>) -> anyhow::Result<Operator> {
+    let Some(path) = path else { return Ok(Operator::default()) };
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| anyhow::anyhow!("{}: cannot be read: {e}", path.display()))?;
+    parse(&text).map_err(|faulty| anyhow::anyhow!("{}: {faulty}", path.display()))
+}
+
+pub fn parse(text: &str) -> Result<Operator, Faulty> {
+    let message = DynamicMessage::parse_text_format(SETTINGS.clone(), text).map_err(|error| {
+        let label = error.labels().and_then(|mut labels| labels.next());
+        // An end that comes too soon has no place of its own: it is the last line.
+        let offset = label.map_or(text.len(), |label| label.offset());
+        Faulty { line: line_at(text, offset), why: error.to_string() }
+    })?;
+    let settings: text::Settings =
+        message.transcode_to().map_err(|error| Faulty { line: 0, why: error.to_string() })?;
+    let log = settings.log.unwrap_or_default();
+    let level = match log.level() {
+        text::log::Level::Debug => Level::Debug,
+        text::log::Level::Info => Level::Info,
+        text::log::Level::Warn => Level::Warn,
+        text::log::Level::Error => Level::Error,
+    };
+    let registry = settings.registry.map(|registry| plan(text, registry)).transpose()?;
+    Ok(Operator { registry, json_logs: log.form() == text::log::Form::Json, level })
+}
+
+fn plan(text: &str, registry: text::Registry) -> Result<Plan, Faulty> {
+    let faulty = |key: &str, nth: usize, why: String| {
+        let line = place(text, &["registry", key], nth).or_else(|| place(text, &["registry"], 0));
+        Faulty { line: line.unwrap_or(0), why: format!("registry.{key}: {why}") }
+    };
+    let protocol = match registry.protocol() {
+        text::registry::Protocol::Unset => {
+            return Err(faulty("protocol", 0, "missing: ETCD or CONSUL".to_owned()));
+        }
+        text::registry::Protocol::Etcd => Protocol::Etcd,
+        text::registry::Protocol::Consul => Protocol::Consul,
+    };
+    if registry.endpoints.is_empty() {
+        return Err(faulty("endpoints", 0, "missing: HOST:PORT of one member at least".to_owned()));
+    }
+    for (nth, endpoint) in registry.endpoints.iter().enumerate() {
+        let port = endpoint.rsplit_once(':').filter(|(host, _)| !host.is_empty() && !host.contains('/'));
+        if port.and_then(|(_, port)| port.parse::<u16>().ok()).is_none_or(|port| port == 0) {
+            return Err(faulty("endpoints", nth, format!("\"{endpoint}\" is not HOST:PORT")));
+        }
+        if registry.endpoints[..nth].contains(endpoint) {
+            return Err(faulty("endpoints", nth, format!("\"{endpoint}\" is named twice")));
+        }
+    }
+    if registry.prefix.is_empty() {
+        return Err(faulty("prefix", 0, "missing: all keys of the registry would be hosts".to_owned()));
+    }
+    let millis = |key: &str, value: Option<u32>, default: u32, least: u32, most: u32| match value {
+        Some(value) if value < least || value > most => {
+            Err(faulty(key, 0, format!("{value} is not between {least} and {most}")))
+        }
+        value => Ok(Span::from_millis(value.unwrap_or(default).into())),
+    };
+    let silent_after = millis("silent_after_ms", registry.silent_after_ms, 3_000, LEAST_SILENCE, 60_000)?;
+    let settle = millis("settle_ms", registry.settle_ms, 10_000, 0, 3_600_000)?;
+    let wait = millis("wait_ms", registry.wait_ms, 10_000, 100, LONGEST_WAIT)?;
+    let stale = match registry.stale_ms {
+        Some(_) if protocol == Protocol::Etcd => {
+            return Err(faulty("stale_ms", 0, "only Consul has stale reads".to_owned()));
+        }
+        Some(_) => Some(millis("stale_ms", registry.stale_ms, 0, 1, 3_600_000)?),
+        None => None,
+    };
+    let page = registry.page.unwrap_or(1_000);
+    if page == 0 {
+        return Err(faulty("page", 0, "must not be 0".to_owned()));
+    }
+    let (endpoints, prefix) = (registry.endpoints, registry.prefix);
+    Ok(Plan { protocol, endpoints, prefix, page, silent_after, settle, wait, stale })
+}
+
+fn line_at(text: &str, offset: usize) -> usize {
+    let before = &text.as_bytes()[..offset.min(text.len())];
+    before.iter().filter(|byte| **byte == b'\n').count() + 1
+}
+
+/// The line of the `nth` key at a path of a text that has been read without a fault.
+fn place(text: &str, path: &[&str], mut nth: usize) -> Option<usize> {
+    let (mut open, mut key, mut rest) = (Vec::new(), "", text);
+    loop {
+        let at = rest.find(|c: char| !c.is_whitespace())?;
+        rest = &rest[at..];
+        let length = match rest.as_bytes()[0] {
+            b'#' => rest.find('\n').unwrap_or(rest.len()),
+            quote @ (b'"' | b'\'') => {
+                let mut escaped = false;
+                let end = rest.bytes().skip(1).position(|byte| {
+                    let closes = byte == quote && !escaped;
+                    escaped = byte == b'\\' && !escaped;
+                    closes
+                });
+                end.map_or(rest.len(), |end| end + 2)
+            }
+            b'{' | b'<' => {
+                open.push(key);
+                1
+            }
+            b'}' | b'>' => {
+                open.pop();
+                1
+            }
+            byte if byte.is_ascii_alphanumeric() || byte == b'_' => {
+                let word = |c: char| !(c.is_ascii_alphanumeric() || c == '_');
+                let end = rest.find(word).unwrap_or(rest.len());
+                key = &rest[..end];
+                let behind = rest[end..].trim_start();
+                let is_key = behind.starts_with([':', '{', '<']);
+                let (last, above) = path.split_last()?;
+                if is_key && key == *last && open == above {
+                    if nth == 0 {
+                        return Some(line_at(text, text.len() - rest.len()));
+                    }
+                    nth -= 1;
+                }
+                end
+            }
+            _ => 1,
+        };
+        rest = rest.get(length..)?;
+    }
+}
--- /dev/null
+++ b/crates/lockusher-mixer/src/program/mod.rs
@@ -0,0 +1,94 @@
+//! The command line: what is to be done, and with which settings.
+
+mod check;
+mod dump;
+mod serve;
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+
+use crate::config::{self, Config};
+use crate::{operator, report};
+
+/// Serves multigets from the searchers that hold their shards. `LB_CONFIG` names the platform's configuration.
+#[derive(Parser)]
+#[command(name = "lockusher", version, about)]
+struct Line {
+    /// The operator's own settings file, protobuf text format.
+    #[arg(long, global = true, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve; what is done if no command is given.
+    Serve,
+    /// Read and check files: settings, and configurations (named .json). Exits with 2 if one is faulty.
+    Check {
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Look at the registry that the settings name.
+    Registry {
+        #[command(subcommand)]
+        what: Registry,
+    },
+}
+
+#[derive(Subcommand)]
+enum Registry {
+    /// Print the hosts that it holds as a mixer sees them, in discovery's form.
+    Dump {
+        /// How long it may take, in milliseconds.
+        #[arg(long, default_value_t = 10_000, value_name = "MS")]
+        within_ms: u64,
+    },
+}
+
+fn configuration() -> anyhow::Result<Config> {
+    config::load(|name| std::env::var(name).ok())
+}
+
+/// Runs the program with these arguments, the first of which is its own name.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let Line { settings, command } = match Line::try_parse_from(args) {
+        Ok(line) => line,
+        Err(error) => {
+            // Help and version are no faults.
+            let _ = error.print();
+            return ExitCode::from(error.exit_code() as u8);
+        }
+    };
+    if let Some(Command::Check { files }) = command {
+        return check::check(&files);
+    }
+    let operator = match operator::load(settings.as_deref()) {
+        Ok(operator) => operator,
+        Err(error) => {
+            report::start(&operator::Operator::default());
+            tracing::error!("{error:#}");
+            return ExitCode::FAILURE;
+        }
+    };
+    report::start(&operator);
+    let system = actix_rt::System::new();
+    let done = match command {
+        Some(Command::Registry { what: Registry::Dump { within_ms } }) => {
+            system.block_on(dump::dump(operator, Duration::from_millis(within_ms)))
+        }
+        _ => system.block_on(serve::serve(settings, operator)),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lockusher-mixer/src/program/serve.rs
@@ -0,0 +1,152 @@
+//! `serve`: one mixer on sockets, configured by `LB_CONFIG` and the operator's settings.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::configuration;
+use crate::clock::{Clock, duration};
+use crate::operator::{self, Operator};
+use crate::routing::{Arrival, Inlets, Router};
+use crate::transport::clients::{self, Desk, Stopping};
+use crate::transport::discovery;
+use crate::transport::searchers::Searchers;
+use anyhow::{Context, Result};
+use lockusher_registry::io::follow;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
+
+/// A process told to stop is killed no sooner than this after the longest route timeout, of which no more than
+/// `LONGEST_COUNTED` counts. Until shortly before it serves those that have a connection to it: others may be
+/// down at the same time.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+const LONGEST_COUNTED: Duration = Duration::from_millis(3_000);
+/// So long before that it closes what is unused and each connection with its answer, and gives up what is
+/// still in hand.
+const CLOSE: Duration = Duration::from_millis(1_200);
+const GIVE_UP: Duration = Duration::from_millis(400);
+
+pub async fn serve(settings: Option<PathBuf>, operator: Operator) -> Result<()> {
+    let mut config = configuration()?;
+    let clock = Clock::start();
+    let mut hung_up = signal(SignalKind::hangup())?;
+    let mut terminated = signal(SignalKind::terminate())?;
+    let mut interrupted = signal(SignalKind::interrupt())?;
+    let sockets = config.sockets;
+    let (queue, arrivals) = mpsc::channel(sockets.most_open);
+    let (left, left_inlet) = mpsc::unbounded_channel();
+    let (stop, stopping) = watch::channel(Stopping::No);
+    let (can_serve, open, asked) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(0)), Rc::new(Notify::new()));
+    let searchers = Searchers::new(sockets, queue.clone());
+    let inlets = Inlets { arrivals, left: left_inlet };
+    let mut router =
+        Router::start(clock, &config, searchers, asked.clone(), inlets, can_serve.clone(), open.clone())
+            .context("settings")?;
+    let known = config.known.take().map(|known| known.read(&config.settings.names()));
+    let from = known.as_ref().map(|known| known.index);
+    if let Some(known) = known {
+        router.remember(known);
+    }
+    let listener =
+        clients::listen(config.listen).await.with_context(|| format!("listen: {}", config.listen))?;
+    let at = listener.local_addr().context("listen")?;
+    let names = config.settings.names();
+    // One of the two lists the searchers, for as long as the process runs.
+    let (mut registry, mut moves, mut asks) = (None, None, None);
+    match operator.registry.clone() {
+        Some(plan) => {
+            let (plans, planned) = watch::channel(plan);
+            // Few ask, and each is answered at once.
+            let (ask, asked) = mpsc::channel(4);
+            (registry, asks) = (Some(plans), Some(ask));
+            let (now, names) = (move || clock.now(), config.settings.names());
+            let told = |list| Arrival::Told(Some(list));
+            actix_rt::spawn(follow(planned, names, config.seed, now, queue.clone(), told, asked));
+        }
+        None => {
+            let (to, moved) = watch::channel(config.needs_discovery()?);
+            moves = Some(to);
+            let watching =
+                discovery::watch(moved, sockets, config.settings.names(), from, asked, queue.clone());
+            actix_rt::spawn(watching);
+        }
+    }
+    let mut routing = actix_rt::spawn(router.run());
+    let desk = Rc::new(Desk {
+        names,
+        sockets,
+        queue: queue.clone(),
+        left,
+        can_serve,
+        stopping,
+        bodies: Cell::new(0),
+        registry: asks,
+    });
+    let closed = Rc::new(Notify::new());
+    let mut serving = actix_rt::spawn(clients::serve(listener, desk, closed.clone()));
+    tracing::info!("{} serves on {at}", config.name);
+
+    let read_again = |discovery: bool| {
+        let new = configuration()?;
+        if discovery {
+            new.needs_discovery()?;
+        }
+        anyhow::Ok((new, operator::load(settings.as_deref())?))
+    };
+    loop {
+        tokio::select! {
+            // What is in hand, connections and what was learned stay; only the watch moves.
+            Some(()) = hung_up.recv() => match read_again(moves.is_some()) {
+                Ok((new, operator)) => {
+                    let name = &config.name;
+                    if let (Some(moves), Ok(discovery)) = (&moves, new.needs_discovery()) {
+                        let moved = moves.send_if_modified(|at| std::mem::replace(at, discovery) != discovery);
+                        let moved = if moved { "moves to" } else { "stays at" };
+                        tracing::info!("{name}: configuration read again, discovery {moved} {discovery}");
+                    }
+                    match (&registry, operator.registry) {
+                        (Some(plans), Some(plan)) => {
+                            let moved = plans.send_if_modified(|held| std::mem::replace(held, plan.clone()) != plan);
+                            let moved = if moved { "is followed anew" } else { "stays as it was" };
+                            tracing::info!("{name}: settings read again, the registry {moved}");
+                        }
+                        (None, None) => {}
+                        _ => tracing::warn!("registry: to be set or unset it needs a restart"),
+                    }
+                    for key in config.needs_restart(&new) {
+                        tracing::warn!("{key}: another value needs a restart; the old one stays in force");
+                    }
+                }
+                Err(error) => tracing::error!("configuration not read again, the old one stays in force: {error:#}"),
+            },
+            _ = terminated.recv() => break,
+            _ = interrupted.recv() => break,
+            ended = &mut routing => {
+                ended.context("routing")?;
+                anyhow::bail!("routing has ended");
+            }
+            ended = &mut serving => {
+                ended.context("serving")?;
+                anyhow::bail!("serving has ended");
+            }
+        }
+    }
+    tracing::info!("{} stops: {} multigets in hand", config.name, open.get());
+    stop.send_replace(Stopping::Asked);
+    let killed = duration(sockets.longest).min(LONGEST_COUNTED) + KILLED_AFTER;
+    tokio::time::sleep(killed.saturating_sub(CLOSE)).await;
+    stop.send_replace(Stopping::Closing);
+    closed.notify_one();
+    let mut answered = tokio::time::timeout(CLOSE - GIVE_UP, &mut serving).await.is_ok();
+    if !answered {
+        let _ = queue.send(Arrival::Stop).await;
+        answered = tokio::time::timeout(GIVE_UP / 2, serving).await.is_ok();
+    }
+    tracing::info!(
+        "{} ends: {}",
+        config.name,
+        if answered { "all was answered" } else { "connections left" }
+    );
+    Ok(())
+}
--- a/crates/lockusher-mixer/src/protocol/client.rs
+++ b/crates/lockusher-mixer/src/protocol/client.rs
@@ -12,6 +12,8 @@
 
 /// The path that tells whether the mixer can serve.
 pub const UP: &str = "/up";
+/// Where it says how the registry stands, if one is followed.
+pub const REGISTRY: &str = "/registry";
 
 /// The head of a request, as far as it counts.
 pub struct Head<'a> {
--- a/crates/lockusher-mixer/src/protocol/mod.rs
+++ b/crates/lockusher-mixer/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod discovery;
 pub mod frame;
+pub mod registry;
 
 /// What a body may hold at most.
 pub const MOST_BODY: usize = 64 * 1024;
--- /dev/null
+++ b/crates/lockusher-mixer/src/protocol/registry.rs
@@ -0,0 +1,33 @@
+//! How the registry stands, as JSON for staff and tools.
+
+use lockusher_host::list::ListOut;
+use lockusher_host::settings::Names;
+use lockusher_registry::io::Shown;
+use serde_json::json;
+
+pub fn encode(shown: &Shown, names: &Names) -> String {
+    let Shown { status, endpoint, lines } = shown;
+    let counts = &status.counts;
+    let revision = status.version.map(|version| version.revision.0);
+    json!({
+        "stage": status.stage,
+        "endpoint": endpoint,
+        "cluster": status.version.map(|version| format!("{:x}", version.cluster.0)),
+        "revision": revision,
+        "age_ms": status.age.map(|age| age.as_micros() / 1_000),
+        "entries": status.entries,
+        "unreadable": status.unreadable,
+        "counts": {
+            "failures": counts.failures,
+            "silences": counts.silences,
+            "compactions": counts.compactions,
+            "rebuilds": counts.rebuilds,
+            "contradictions": counts.contradictions,
+            "unreadable": counts.unreadable,
+            "requests": counts.requests,
+            "folded": status.folded,
+        },
+        "view": ListOut::new(revision.unwrap_or(0), lines, names),
+    })
+    .to_string()
+}
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -17,9 +17,9 @@
 use crate::config::{Config, Sockets};
 use crate::must_hold;
 use crate::protocol::client::{Request, Unusable};
-use crate::protocol::discovery::List;
 use crate::transport::searchers::{Searchers, Wanted};
 use desk::Desk;
+use lockusher_host::list::List;
 
 /// What comes to the router.
 pub enum Arrival {
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -17,11 +17,11 @@
 use futures_util::StreamExt;
 use lockusher::interface::MultigetId;
 use lockusher_host::settings::Names;
+use lockusher_registry::io::Asks;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 
 use crate::config::Sockets;
-use crate::log;
 use crate::protocol::MOST_BODY;
 use crate::protocol::client::{self, Head, Unusable};
 use crate::routing::{Arrival, Asked, Given};
@@ -59,6 +59,8 @@
     pub stopping: watch::Receiver<Stopping>,
     /// Bytes of bodies that are being read or in hand.
     pub bodies: Cell<usize>,
+    /// The way to ask how the registry stands, if one is followed.
+    pub registry: Option<Asks>,
 }
 
 impl Desk {
@@ -92,14 +94,14 @@
         .new_service(())
         .await;
     let Ok(service) = service else {
-        return log!("the server of clients could not be made");
+        return tracing::info!("the server of clients could not be made");
     };
     let accept = async {
         loop {
             let (stream, peer) = match listener.accept().await {
                 Ok(accepted) => accepted,
                 Err(error) => {
-                    log!("accepting: {error}");
+                    tracing::warn!("accepting: {error}");
                     tokio::time::sleep(PAUSE).await;
                     continue;
                 }
@@ -155,6 +157,7 @@
     let mut response = match request.path() {
         client::UP if desk.can_serve.get() && !desk.stops() => plain(200, "up"),
         client::UP => plain(503, "not serving"),
+        client::REGISTRY if let Some(asks) = &desk.registry => registry(asks, &desk.names).await,
         _ => match multiget(&mut request, desk, &usage).await {
             Ok(response) => response,
             Err(unusable) => {
@@ -175,6 +178,19 @@
     response
 }
 
+async fn registry(asks: &Asks, names: &Names) -> Response<BoxBody> {
+    let (shows, shown) = oneshot::channel();
+    let asked = asks.send(shows).await;
+    match shown.await {
+        Ok(shown) if asked.is_ok() => {
+            let mut response = Response::build(StatusCode::OK);
+            let body = crate::protocol::registry::encode(&shown, names);
+            response.insert_header((CONTENT_TYPE, "application/json")).body(body).map_into_boxed_body()
+        }
+        _ => plain(503, "the registry is not followed"),
+    }
+}
+
 fn plain(status: u16, words: &str) -> Response<BoxBody> {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     Response::build(status)
--- a/crates/lockusher-mixer/src/transport/discovery.rs
+++ b/crates/lockusher-mixer/src/transport/discovery.rs
@@ -6,13 +6,13 @@
 
 use awc::{Client, Connector};
 use lockusher::interface::Span;
+use lockusher_host::list::List;
 use lockusher_host::settings::Names;
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::duration;
 use crate::config::Sockets;
-use crate::log;
-use crate::protocol::discovery::{self, List};
+use crate::protocol::discovery;
 use crate::routing::Arrival;
 
 /// A watch goes on if the next call comes within this of the last answer.
@@ -73,13 +73,16 @@
                 Ok(list) if list.complete || from.is_some_and(|from| list.index >= from) => list,
                 Ok(list) => {
                     // A version that goes back, or a change to a list not held, tells of a restart there.
-                    log!("discovery went back to version {}: asking for the whole list", list.index);
+                    tracing::info!(
+                        "discovery went back to version {}: asking for the whole list",
+                        list.index
+                    );
                     *from = None;
                     tokio::time::sleep(PACE).await;
                     continue;
                 }
                 Err(error) => {
-                    log!("discovery: {error}");
+                    tracing::warn!("discovery: {error}");
                     if sockets.on_request {
                         break;
                     }
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -16,9 +16,9 @@
 
 use crate::clock::duration;
 use crate::config::Sockets;
+use crate::must_hold;
 use crate::protocol::frame::{self, CallPart, FromSearcher, PartEnded};
 use crate::routing::{Arrival, SendEnded};
-use crate::{log, must_hold};
 
 /// Whether anyone still waits for a part.
 pub type Wanted = Rc<dyn Fn() -> bool>;
@@ -102,7 +102,7 @@
         let connection = match connection {
             Some(connection) => connection,
             None if !self.room() => {
-                log!("no further connection to {}: {} are open", to.as_str(), self.open.get());
+                tracing::warn!("no further connection to {}: {} are open", to.as_str(), self.open.get());
                 return Err(call);
             }
             None => {
@@ -402,11 +402,11 @@
         let connecting = TcpStream::connect(self.address);
         let mut stream = match tokio::time::timeout(duration(sockets.connect_timeout), connecting).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return log!("no connection to {}: {error}", self.address),
-            Err(_) => return log!("no connection to {}: none came up in time", self.address),
+            Ok(Err(error)) => return tracing::info!("no connection to {}: {error}", self.address),
+            Err(_) => return tracing::info!("no connection to {}: none came up in time", self.address),
         };
         if let Err(error) = stream.set_nodelay(true) {
-            return log!("connection to {}: {error}", self.address);
+            return tracing::info!("connection to {}: {error}", self.address);
         }
         if self.state.get() == State::Connecting {
             self.state.set(State::Open);
@@ -427,7 +427,7 @@
             () = self.broken_off.notified() => Err(std::io::Error::other("it takes nothing more, or has fallen silent")),
         };
         if let Err(error) = ended {
-            log!("connection to {} ended: {error}", self.address);
+            tracing::info!("connection to {} ended: {error}", self.address);
         }
     }
 
