--- /dev/null
+++ b/crates/lockusher-lab/src/main.rs
@@ -0,0 +1,3 @@
+//! `lockusher-lab`.
+
+fn main() {}
--- /dev/null
+++ b/crates/lockusher-lab/src/stand_in/client.rs
@@ -0,0 +1,97 @@
+//! A client of the mixer.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use serde_json::{Value, json};
+
+use super::LONG;
+
+pub type Headers = HashMap<String, String>;
+
+pub(super) fn read_head(reader: &mut impl BufRead) -> Option<(String, Headers)> {
+    let (mut first, mut headers) = (String::new(), HashMap::new());
+    if reader.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else { return Some((first, headers)) };
+        headers.insert(name.to_lowercase(), value.trim().to_owned());
+    }
+}
+
+pub struct Client {
+    stream: BufReader<TcpStream>,
+}
+
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: String,
+}
+
+impl Answer {
+    /// The values by shard, if it was answered.
+    pub fn values(&self) -> Vec<(u64, String)> {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_else(|_| panic!("an answer: {self:?}"));
+        let hits = body["answers"].as_array().expect("answers").iter();
+        hits.map(|h| (h["range"].as_u64().expect("a shard"), h["blob"].as_str().expect("text").into()))
+            .collect()
+    }
+}
+
+/// A body that asks for these shards in equal parts.
+pub fn body(shards: &[usize]) -> String {
+    let portion = 1.0 / shards.len() as f64;
+    let ranges: Vec<Value> = shards.iter().map(|s| json!({ "range": s, "portion": portion })).collect();
+    json!({ "ranges": ranges, "predicate": "c41e77d0" }).to_string()
+}
+
+pub fn head(id: &str, deadline: &str) -> String {
+    format!(
+        "POST /look HTTP/1.1\r\nHost: app\r\nReq-Id: {id}\r\nReq-Kind: look\r\nReq-Owner: acme\r\n\
+         Req-Deadline: {deadline}\r\n"
+    )
+}
+
+pub fn request(id: &str, body: &str) -> Vec<u8> {
+    format!("{}Content-Length: {}\r\n\r\n{body}", head(id, "4000m"), body.len()).into_bytes()
+}
+
+impl Client {
+    pub fn to(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        Client { stream: BufReader::new(stream) }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.get_mut().write_all(bytes).expect("written");
+    }
+
+    /// Writes as long as it is taken; tells whether all was.
+    pub fn try_write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.get_mut().write_all(bytes).is_ok()
+    }
+
+    /// The next answer, whole; nothing if the connection ends first.
+    pub fn read(&mut self) -> Option<Answer> {
+        let (line, headers) = read_head(&mut self.stream)?;
+        let status = line.split(' ').nth(1)?.parse().ok()?;
+        let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        self.stream.read_exact(&mut body).ok()?;
+        Some(Answer { status, headers, body: String::from_utf8(body).ok()? })
+    }
+
+    pub fn ask(&mut self, id: &str, shards: &[usize]) -> Answer {
+        self.write(&request(id, &body(shards)));
+        self.read().expect("an answer")
+    }
+}
--- /dev/null
+++ b/crates/lockusher-lab/src/stand_in/world.rs
@@ -0,0 +1,282 @@
+//! A mixer with its world: the real program between stand-ins.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::LONG;
+use super::client::{Answer, Client};
+use super::discovery::Discovery;
+use super::searcher::{Act, Searcher, Seen};
+
+/// How the mixer of a story is set up.
+pub struct Setup {
+    pub searchers: usize,
+    pub effect: &'static str,
+    pub second_step: usize,
+    pub sockets: usize,
+    pub memory_mb: usize,
+    pub most_open: usize,
+    pub most_calls: usize,
+    pub most_parts: usize,
+    pub idle_ms: u64,
+    pub connect_ms: u64,
+    /// Whether it remembers the list, or has only discovery.
+    pub knows: bool,
+    /// Whether discovery must be asked, and tells nobody else.
+    pub asks: bool,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup {
+            searchers: 3,
+            effect: "safe",
+            second_step: 0,
+            sockets: 256,
+            memory_mb: 64,
+            most_open: 500,
+            most_calls: 32,
+            most_parts: 1,
+            idle_ms: 15_000,
+            connect_ms: 250,
+            knows: true,
+            asks: false,
+        }
+    }
+}
+
+pub fn settings(setup: &Setup) -> Value {
+    json!({
+        "balancers": 1, "tick_us": 5000, "localities": ["here"], "locality": "here",
+        "membership_mode": if setup.asks { "on_request" } else { "pushed" }, "prices": {},
+        "parties": [{ "name": "acme", "quota_per_s": 1000.0 }],
+        "grades": [{
+            "name": "look", "promise_us": 300_000, "deadline_us": 5_000_000, "effect": setup.effect,
+            "worth": 1.0, "late_value": 1.0, "dedup_window_us": 2_000_000,
+        }],
+        "extra": {
+            "cells": 3, "in_a_row": 3, "slices": 24, "least_share": [1.0], "need_by_class": [1.0],
+            "fetch_parts": [setup.second_step], "bundle_max": setup.most_parts,
+        },
+        "limits": {
+            "max_attempts": 4, "parallel_tries": setup.effect == "safe", "may_cancel": true, "probes": true, "retry_after": true,
+            "max_retry_after_us": 2_000_000, "max_open": setup.most_open, "max_streams": setup.most_calls,
+            "conn_idle_us": setup.idle_ms * 1000, "connect_timeout_us": setup.connect_ms * 1000,
+        },
+        "rules": { "cold_from": 0.2, "ramp_time_us": 9_000_000, "fall_multiple": 4.0, "tip_after_us": 1_000_000,
+            "ask_every_us": 2_000_000 },
+    })
+}
+
+/// The program that stories run: this one itself where it is the lab, else the mixer that cargo built beside it.
+fn program() -> Command {
+    let this = std::env::current_exe().expect("a path");
+    let itself = this.file_stem().is_some_and(|stem| stem == "lockusher-lab");
+    let mut command = match itself {
+        true => Command::new(&this),
+        false => {
+            let tests = this.parent().and_then(Path::parent).expect("a test lies two folders deep");
+            Command::new(tests.join("lockusher"))
+        }
+    };
+    if itself {
+        command.arg("mixer");
+    }
+    command
+}
+
+/// A mixer of a story, as a process of its own; it ends with this.
+pub struct Mixer {
+    pub address: SocketAddr,
+    child: Child,
+    file: PathBuf,
+}
+
+impl Mixer {
+    /// Starts one with this configuration, and waits until it listens; what it says goes on to standard error, or
+    /// nowhere if it is to be `quiet`.
+    pub fn start(config: &Value, settings: Option<&Path>, quiet: bool) -> Self {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let file = std::env::temp_dir().join(format!("lockusher-story-{}-{number}.json", std::process::id()));
+        std::fs::write(&file, config.to_string()).expect("a file");
+        let mut command = program();
+        if let Some(settings) = settings {
+            command.arg("--settings").arg(settings);
+        }
+        let child = command.env("LB_CONFIG", &file).stderr(Stdio::piped()).spawn();
+        let mut child = child.expect("the program starts");
+        let mut said = BufReader::new(child.stderr.take().expect("a pipe"));
+        let address = loop {
+            let mut line = String::new();
+            assert!(said.read_line(&mut line).expect("a line") > 0, "it ended before it served");
+            if let Some((_, at)) = line.split_once(" serves on ") {
+                break at.trim().parse().expect("an address");
+            }
+            eprint!("{line}");
+        };
+        thread::spawn(move || match quiet {
+            true => std::io::copy(&mut said, &mut std::io::sink()),
+            false => std::io::copy(&mut said, &mut std::io::stderr()),
+        });
+        Mixer { address, child, file }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::to(self.address)
+    }
+
+    pub fn get(&self, path: &str) -> Answer {
+        let mut client = self.client();
+        client.write(format!("GET {path} HTTP/1.1\r\nHost: app\r\nConnection: close\r\n\r\n").as_bytes());
+        client.read().expect("an answer")
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill").success());
+    }
+
+    /// Its configuration from here on; it must be told to read it.
+    pub fn configure(&self, config: &Value) {
+        std::fs::write(&self.file, config.to_string()).expect("a file");
+    }
+
+    fn proc(&self, file: &str) -> String {
+        std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).expect("it runs")
+    }
+
+    /// The most memory that it ever held, in KB.
+    pub fn most_memory(&self) -> u64 {
+        let status = self.proc("status");
+        let line = status.lines().find(|l| l.starts_with("VmHWM:")).expect("its peak");
+        line.split_whitespace().nth(1).and_then(|kb| kb.parse().ok()).expect("a number")
+    }
+
+    /// The time that its main thread has had a core, in microseconds.
+    pub fn cpu_us(&self) -> u64 {
+        let stat = self.proc("schedstat");
+        stat.split_whitespace().next().and_then(|ns| ns.parse::<u64>().ok()).expect("a number") / 1_000
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        self.child.wait().expect("it ends")
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+}
+
+impl Drop for Mixer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// Waits until something holds.
+pub fn until(holds: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < LONG, "waited in vain");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A mixer with its world.
+pub struct World {
+    pub searchers: Vec<Arc<Searcher>>,
+    pub discovery: Arc<Discovery>,
+    pub address: SocketAddr,
+    mixer: Mixer,
+    config: Value,
+}
+
+pub fn line(searcher: &Searcher, group: usize, status: &str) -> Value {
+    json!({ "name": searcher.name, "address": searcher.address, "zone": "here", "type": "m", "group": group,
+        "status": status, "weight": 1.0, "since_ms": 0 })
+}
+
+impl World {
+    pub fn start(setup: Setup) -> Self {
+        let searchers: Vec<_> = (0..setup.searchers).map(|i| Searcher::start(&format!("s{i}"))).collect();
+        let lines: Vec<Value> = searchers.iter().enumerate().map(|(i, s)| line(s, i, "active")).collect();
+        let discovery = Discovery::start(lines.clone());
+        let known = json!({ "index": 1, "snapshot": true, "endpoints": lines });
+        let config = json!({
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5eed",
+            "limits": { "sockets": setup.sockets, "memory_mb": setup.memory_mb }, "settings": settings(&setup),
+            "known": if setup.knows { known } else { Value::Null },
+        });
+        let mixer = Mixer::start(&config, None, false);
+        let world = World { searchers, discovery, address: mixer.address, mixer, config };
+        world.until(|| world.get("/up").status == 200);
+        world
+    }
+
+    pub fn client(&self) -> Client {
+        self.mixer.client()
+    }
+
+    pub fn get(&self, path: &str) -> Answer {
+        self.mixer.get(path)
+    }
+
+    pub fn until(&self, holds: impl Fn() -> bool) {
+        until(holds);
+    }
+
+    /// All sends of parts whose ids begin so, with their searchers' names.
+    pub fn sends(&self, id: &str) -> Vec<(String, Seen)> {
+        let of = |s: &Arc<Searcher>| {
+            let name = s.name.clone();
+            s.log().parts.into_iter().filter(|p| p.id.starts_with(id)).map(move |p| (name.clone(), p))
+        };
+        self.searchers.iter().flat_map(of).collect()
+    }
+
+    pub fn all_do(&self, script: impl Fn(&Seen) -> Act + Clone + Send + Sync + 'static) {
+        self.searchers.iter().for_each(|s| s.does(script.clone()));
+    }
+
+    /// The mixer stands still while this happens.
+    pub fn meanwhile(&self, happens: impl FnOnce()) {
+        self.mixer.signal("-STOP");
+        happens();
+        self.mixer.signal("-CONT");
+    }
+
+    pub fn terminate(&self) {
+        self.mixer.signal("-TERM");
+    }
+
+    /// Writes this into the configuration and tells the mixer to read it again.
+    pub fn reload(&mut self, key: &str, value: impl Into<Value>) {
+        self.config[key] = value.into();
+        self.mixer.configure(&self.config);
+        self.mixer.signal("-HUP");
+    }
+
+    /// The most memory that it ever held, in KB.
+    pub fn most_memory(&self) -> u64 {
+        self.mixer.most_memory()
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        self.mixer.ended()
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.mixer.runs()
+    }
+}
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -1,7 +1,5 @@
 //! The mixer as its clients, searchers and discovery meet it.
 
-mod stand_in;
-
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -9,13 +7,13 @@
 use std::time::{Duration, Instant};
 
 use lockusher::interface::*;
+use lockusher_lab::stand_in::*;
 use lockusher_mixer::config;
 use lockusher_mixer::protocol::frame::CallPart;
 use lockusher_mixer::routing::Arrival;
 use lockusher_mixer::transport::searchers::{Searchers, Sent, Wanted};
 use rstest::rstest;
 use serde_json::json;
-use stand_in::*;
 
 fn values(id: &str, shards: &[u64]) -> Vec<(u64, String)> {
     shards.iter().map(|s| (*s, format!("v{id}.{s}"))).collect()
--- a/crates/lockusher-registry/src/io/mod.rs
+++ b/crates/lockusher-registry/src/io/mod.rs
@@ -3,6 +3,8 @@
 mod consul;
 mod etcd;
 
+pub use etcd::range_end as etcd_range_end;
+
 use std::time::Duration;
 
 use lockusher::interface::{Span, Time};
