Lab: the registry under trouble, a checker of sends, a demonstration; properties of the follower

Need: that no drain is missed and no view is a blend must be shown, not said. Change: lockusher-lab registry (hosts change under load while the registry is cut, silent, lagging, compacting, away), large (20,000 entries, a burst, a rebuild) and demo; a pure checker of what was told against what left; stories over sockets for each hard case; a property test of the follower against a store with history; settings' faults by line. GET /registry/view shows the view itself.

--- a/crates/lockusher-lab/src/lib.rs
+++ b/crates/lockusher-lab/src/lib.rs
@@ -1,4 +1,9 @@
 //! Stand-ins, scripted and on loopback, and what is measured with them. Nothing here is shipped.
 
+pub mod check;
+pub mod demo;
+pub mod fleet;
+pub mod large;
 pub mod registry;
+pub mod soak;
 pub mod stand_in;
--- a/crates/lockusher-lab/src/main.rs
+++ b/crates/lockusher-lab/src/main.rs
@@ -1,3 +1,93 @@
-//! `lockusher-lab`.
+//! `lockusher-lab`: measurements that are too long for the tests, each with one last line of figures and an exit that
+//! is not zero if a promise was broken; and a demonstration.
 
-fn main() {}
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use lockusher_lab::{demo, large, soak};
+use lockusher_registry::core::follow::Protocol;
+
+#[derive(Parser)]
+#[command(about)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Hosts, a registry and a mixer; a host drains, another dies; what is answered by whom. Ends by itself.
+    Demo,
+    /// Hosts come, drain, vanish and return under load while the registry is in trouble.
+    Registry {
+        #[arg(long)]
+        protocol: Which,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        #[arg(long, default_value_t = 24)]
+        hosts: usize,
+        /// Run a reader beside it that reads the whole list each second.
+        #[arg(long)]
+        baseline: bool,
+    },
+    /// A large registry: a start, a burst of changes under load, a rebuild.
+    Large {
+        #[arg(long)]
+        protocol: Which,
+        #[arg(long, default_value_t = 20_000)]
+        entries: usize,
+        /// Changes a second.
+        #[arg(long, default_value_t = 5_000)]
+        changes: usize,
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+    },
+    /// The mixer itself, as the stories start it.
+    #[command(hide = true, disable_help_flag = true)]
+    Mixer {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<std::ffi::OsString>,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Which {
+    Etcd,
+    Consul,
+}
+
+impl From<Which> for Protocol {
+    fn from(which: Which) -> Self {
+        match which {
+            Which::Etcd => Protocol::Etcd,
+            Which::Consul => Protocol::Consul,
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let kept = match Line::parse().command {
+        Command::Mixer { args } => {
+            return lockusher_mixer::program::run(std::iter::once("lockusher".into()).chain(args));
+        }
+        Command::Demo => demo::run(),
+        Command::Registry { protocol, seed, seconds, hosts, baseline } => {
+            let span = Duration::from_secs(seconds);
+            soak::run(&soak::Run { protocol: protocol.into(), seed, span, hosts, baseline })
+        }
+        Command::Large { protocol, entries, changes, seconds } => {
+            large::run(protocol.into(), entries, changes, Duration::from_secs(seconds))
+        }
+    };
+    match kept {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/lockusher-lab/src/stand_in/mod.rs
+++ b/crates/lockusher-lab/src/stand_in/mod.rs
@@ -12,6 +12,6 @@
 pub use client::{Answer, Client, body, head, request};
 pub use discovery::{Discovery, Says};
 pub use searcher::{Act, Log, Searcher, Seen, frame};
-pub use world::{Mixer, Setup, World, line, settings};
+pub use world::{Mixer, Setup, World, line, settings, until};
 
 pub const LONG: Duration = Duration::from_secs(20);
--- a/crates/lockusher-lab/src/stand_in/world.rs
+++ b/crates/lockusher-lab/src/stand_in/world.rs
@@ -76,20 +76,19 @@
     })
 }
 
-/// The program that stories run: this one itself where it is the lab, else the mixer that cargo built beside it.
+/// The program that stories run: the mixer that cargo built beside a test, or the lab, which can be one.
 fn program() -> Command {
     let this = std::env::current_exe().expect("a path");
-    let itself = this.file_stem().is_some_and(|stem| stem == "lockusher-lab");
-    let mut command = match itself {
-        true => Command::new(&this),
-        false => {
-            let tests = this.parent().and_then(Path::parent).expect("a test lies two folders deep");
-            Command::new(tests.join("lockusher"))
-        }
+    let is_lab = this.file_stem().is_some_and(|stem| stem == "lockusher-lab");
+    let of_lab = std::env::var("CARGO_PKG_NAME").is_ok_and(|package| package == "lockusher-lab");
+    let beside =
+        |name| this.parent().and_then(Path::parent).expect("a test lies two folders deep").join(name);
+    let mut command = match (is_lab, of_lab) {
+        (true, _) => Command::new(&this),
+        (false, true) => Command::new(beside("lockusher-lab")),
+        (false, false) => return Command::new(beside("lockusher")),
     };
-    if itself {
-        command.arg("mixer");
-    }
+    command.arg("mixer");
     command
 }
 
@@ -185,7 +184,7 @@
 }
 
 /// Waits until something holds.
-pub fn until(holds: impl Fn() -> bool) {
+pub fn until(mut holds: impl FnMut() -> bool) {
     let began = Instant::now();
     while !holds() {
         assert!(began.elapsed() < LONG, "waited in vain");
@@ -232,7 +231,7 @@
         self.mixer.get(path)
     }
 
-    pub fn until(&self, holds: impl Fn() -> bool) {
+    pub fn until(&self, holds: impl FnMut() -> bool) {
         until(holds);
     }
 
--- a/crates/lockusher-mixer/src/protocol/client.rs
+++ b/crates/lockusher-mixer/src/protocol/client.rs
@@ -14,6 +14,8 @@
 pub const UP: &str = "/up";
 /// Where it says how the registry stands, if one is followed.
 pub const REGISTRY: &str = "/registry";
+/// The same with the view that is held.
+pub const REGISTRY_VIEW: &str = "/registry/view";
 
 /// The head of a request, as far as it counts.
 pub struct Head<'a> {
--- a/crates/lockusher-mixer/src/protocol/registry.rs
+++ b/crates/lockusher-mixer/src/protocol/registry.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 pub fn encode(shown: &Shown, names: &Names) -> String {
-    let Shown { status, endpoint, lines } = shown;
+    let Shown { status, endpoint, view } = shown;
     let counts = &status.counts;
     let revision = status.version.map(|version| version.revision.0);
     json!({
@@ -27,7 +27,7 @@
             "requests": counts.requests,
             "folded": status.folded,
         },
-        "view": ListOut::new(revision.unwrap_or(0), lines, names),
+        "view": view.as_ref().map(|lines| ListOut::new(revision.unwrap_or(0), lines, names)),
     })
     .to_string()
 }
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -17,7 +17,7 @@
 use futures_util::StreamExt;
 use lockusher::interface::MultigetId;
 use lockusher_host::settings::Names;
-use lockusher_registry::io::Asks;
+use lockusher_registry::io::{Ask, Asks};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 
@@ -157,7 +157,9 @@
     let mut response = match request.path() {
         client::UP if desk.can_serve.get() && !desk.stops() => plain(200, "up"),
         client::UP => plain(503, "not serving"),
-        client::REGISTRY if let Some(asks) = &desk.registry => registry(asks, &desk.names).await,
+        path @ (client::REGISTRY | client::REGISTRY_VIEW) if let Some(asks) = &desk.registry => {
+            registry(asks, path == client::REGISTRY_VIEW, &desk.names).await
+        }
         _ => match multiget(&mut request, desk, &usage).await {
             Ok(response) => response,
             Err(unusable) => {
@@ -178,9 +180,9 @@
     response
 }
 
-async fn registry(asks: &Asks, names: &Names) -> Response<BoxBody> {
-    let (shows, shown) = oneshot::channel();
-    let asked = asks.send(shows).await;
+async fn registry(asks: &Asks, view: bool, names: &Names) -> Response<BoxBody> {
+    let (reply, shown) = oneshot::channel();
+    let asked = asks.send(Ask { view, reply }).await;
     match shown.await {
         Ok(shown) if asked.is_ok() => {
             let mut response = Response::build(StatusCode::OK);
--- /dev/null
+++ b/crates/lockusher-mixer/tests/settings.rs
@@ -0,0 +1,53 @@
+//! The operator's settings: what is read, and which line and key a fault names.
+
+use lockusher::interface::Span;
+use lockusher_mixer::operator::{Level, Operator, parse};
+use lockusher_registry::core::follow::Protocol;
+use rstest::rstest;
+
+const GOOD: &str = include_str!("../../../deploy/settings.txtpb");
+
+#[rstest]
+fn the_example_is_good_and_nothing_is_on_without_it() {
+    let read = parse(GOOD).expect("the example");
+    let plan = read.registry.expect("a registry");
+    assert_eq!((plan.protocol, plan.endpoints.len(), plan.page), (Protocol::Etcd, 3, 1_000));
+    assert_eq!((plan.silent_after, plan.stale), (Span::from_millis(3_000), None));
+    assert_eq!(parse("# nothing\n"), Ok(Operator::default()));
+    assert_eq!(
+        parse("log { level: WARN form: JSON }").map(|o| (o.json_logs, o.level)),
+        Ok((true, Level::Warn))
+    );
+}
+
+#[rstest]
+#[case::no_such_key(4, "  endpints: \"a:1\"", 4, "endpints")]
+#[case::a_word_for_a_number(14, "  page: many", 14, "expected an integer")]
+#[case::not_closed(20, "", 20, "reached end of input")]
+#[case::no_such_protocol(6, "  protocol: ZOOKEEPER", 6, "ZOOKEEPER")]
+#[case::no_protocol(6, "", 5, "registry.protocol: missing")]
+#[case::not_host_and_port(
+    8,
+    "  endpoints: \"127.0.0.2\"",
+    8,
+    "registry.endpoints: \"127.0.0.2\" is not HOST:PORT"
+)]
+#[case::a_url(8, "  endpoints: \"http://a:1\"", 8, "is not HOST:PORT")]
+#[case::named_twice(9, "  endpoints: \"127.0.0.1:2379\"", 9, "is named twice")]
+#[case::no_prefix(11, "", 5, "registry.prefix: missing")]
+#[case::too_short_a_silence(
+    13,
+    "  silent_after_ms: 5",
+    13,
+    "registry.silent_after_ms: 5 is not between 200 and"
+)]
+#[case::a_negative_number(14, "  settle_ms: -1", 14, "out of range")]
+#[case::stale_reads_of_etcd(14, "  stale_ms: 5", 14, "registry.stale_ms: only Consul")]
+#[case::no_page(12, "  page: 0", 12, "registry.page: must not be 0")]
+#[case::set_twice(14, "  prefix: \"b\"", 14, "prefix")]
+fn a_fault_names_its_line(#[case] at: usize, #[case] text: &str, #[case] line: usize, #[case] says: &str) {
+    let mut lines: Vec<&str> = GOOD.lines().collect();
+    lines[at - 1] = text;
+    let fault = parse(&lines.join("\n")).expect_err("a fault");
+    assert!(fault.line == line && fault.why.contains(says), "{fault:?}");
+}
--- a/crates/lockusher-registry/src/io/mod.rs
+++ b/crates/lockusher-registry/src/io/mod.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
+use crate::core::entry::Revision;
 use crate::core::follow::{Act, Call, Follower, Heard, Plan, Protocol, Status};
 
 /// Answers that wait for the follower; a stream that brings more waits on its connection.
@@ -48,12 +49,18 @@
     pub status: Status,
     /// The endpoint that is asked now.
     pub endpoint: String,
-    /// The view that is held.
-    pub lines: Vec<Line>,
+    /// The view that is held, if it was asked for.
+    pub view: Option<Vec<Line>>,
+}
+
+/// A question how the registry stands.
+pub struct Ask {
+    pub view: bool,
+    pub reply: oneshot::Sender<Shown>,
 }
 
 /// The way to ask.
-pub type Asks = mpsc::Sender<oneshot::Sender<Shown>>;
+pub type Asks = mpsc::Sender<Ask>;
 
 /// Follows the registry for good, as `plans` says; each list goes into the queue as `told` makes it; whoever asks is
 /// shown how things stand. Ends when nobody takes what it tells.
@@ -64,7 +71,7 @@
     clock: impl Fn() -> Time,
     queue: mpsc::Sender<T>,
     told: impl Fn(List) -> T,
-    mut asks: mpsc::Receiver<oneshot::Sender<Shown>>,
+    mut asks: mpsc::Receiver<Ask>,
 ) {
     let (hears, mut heard) = mpsc::channel(MOST_WAITING);
     let mut follower = Follower::new(clock(), plans.borrow_and_update().clone(), names, seed);
@@ -81,7 +88,8 @@
             Some(ask) = asks.recv() => {
                 let status = follower.status(now);
                 let endpoint = follower.plan().endpoints[status.endpoint.0].clone();
-                let _ = ask.send(Shown { status, endpoint, lines: follower.lines() });
+                let view = ask.view.then(|| follower.lines());
+                let _ = ask.reply.send(Shown { status, endpoint, view });
                 Vec::new()
             }
             got = heard.recv() => follower.step(clock(), got),
@@ -173,3 +181,29 @@
         self.calls.push(Running(running));
     }
 }
+
+/// Reads the whole prefix once from the first endpoint that is named, as a client without watches would; the
+/// revision that it shows, if it was read. For comparison only.
+pub async fn read_whole(plan: &Plan) -> Option<Revision> {
+    let (hears, mut heard) = mpsc::channel(1);
+    let ear = Ear { call: Call(0), heard: hears };
+    let endpoint = plan.endpoints.first()?;
+    let read = async {
+        match plan.protocol {
+            Protocol::Etcd => {
+                let session = etcd::Session::new(endpoint, &plan.prefix, plan.silent_after);
+                session.read(ear, None, 0, None).await;
+            }
+            Protocol::Consul => {
+                let session = consul::Session::new(endpoint, &plan.prefix);
+                session.poll(ear, Revision(0), Span::ZERO, false, plan.silent_after).await;
+            }
+        }
+    };
+    tokio::time::timeout(Duration::from_micros(plan.silent_after.as_micros()), read).await.ok()?;
+    match heard.recv().await?.1 {
+        Heard::Page { version, .. } => Some(version.revision),
+        Heard::Whole { index, .. } => Some(index),
+        _ => None,
+    }
+}
