--- a/crates/lockusher-lab/src/fleet.rs
+++ b/crates/lockusher-lab/src/fleet.rs
@@ -128,7 +128,7 @@
 }
 
 impl Load {
-    pub fn start(mixer: SocketAddr, clients: usize, every: Duration) -> Self {
+    pub fn start(mixer: SocketAddr, clients: usize, every: Duration, shards: usize) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let threads = (0..clients).map(|number| {
             let stop = stop.clone();
@@ -137,7 +137,7 @@
                 let mut asked = 0_usize;
                 while !stop.load(Ordering::Relaxed) {
                     std::thread::sleep(due.saturating_duration_since(Instant::now()));
-                    let shards = [asked % 24, (asked + 7) % 24, (asked + 13) % 24];
+                    let shards = [asked, asked + 7, asked + 13].map(|shard| shard % shards);
                     let answer = client.ask(&format!("c{number}n{asked}"), &shards);
                     // From when it was due: a wait behind the answer before counts too.
                     outcomes.push((answer.status, due.elapsed()));
--- a/crates/lockusher-lab/src/large.rs
+++ b/crates/lockusher-lab/src/large.rs
@@ -15,6 +15,11 @@
 const LISTENING: usize = 24;
 /// Writes in one transaction of the burst.
 const TOGETHER: usize = 50;
+/// Replicas of a shard, and shards that a host holds.
+const REPLICAS: usize = 30;
+const IN_A_ROW: usize = 3;
+/// Every other change is of one of so few hosts.
+const HOT: usize = 100;
 const PATIENCE: Duration = Duration::from_secs(60);
 
 fn wait(what: &str, holds: impl Fn() -> bool) -> Result<Duration> {
@@ -40,29 +45,40 @@
     let registry = Registry::new(1);
     let endpoints = runtime.block_on(fleet::endpoints(&registry, protocol, 2))?;
     let searchers = fleet::searchers(LISTENING);
+    let cells = (entries * IN_A_ROW / REPLICAS).max(IN_A_ROW);
     let put = |host: usize, status: &str| Write::Put {
         key: fleet::key(&format!("n{host:06}")).into_bytes(),
-        value: fleet::entry(searchers[host % LISTENING].address, host % 3, status).into_bytes(),
+        value: fleet::entry(searchers[host % LISTENING].address, host % cells, status).into_bytes(),
         lease: 0,
     };
     registry.write((0..entries).map(|host| put(host, "active")));
     let text = fleet::settings_text(protocol, &endpoints, "");
-    let setup = Setup { knows: false, sockets: 1_024, memory_mb: 192, ..Setup::default() };
+    let setup = Setup {
+        knows: false,
+        sockets: 1_024,
+        memory_mb: 192,
+        cells,
+        in_a_row: IN_A_ROW,
+        shards: cells,
+        ..Setup::default()
+    };
     let began = Instant::now();
     let followed = Followed::start(&setup, &text, true)?;
     let mixer = &followed.mixer;
     wait("the start", || mixer.get("/up").status == 200)?;
     let started = began.elapsed();
-    let (start_kb, calm) = (mixer.most_memory(), Load::start(mixer.address, 4, Duration::from_millis(20)));
+    let (start_kb, calm) =
+        (mixer.most_memory(), Load::start(mixer.address, 4, Duration::from_millis(20), cells));
     std::thread::sleep(Duration::from_secs(3));
     let (_, calm_p99) = service(calm.end());
 
-    let load = Load::start(mixer.address, 4, Duration::from_millis(20));
+    let load = Load::start(mixer.address, 4, Duration::from_millis(20), cells);
     let (cpu, began, mut done) = (mixer.cpu_us(), Instant::now(), 0);
     let mut status = vec![true; entries];
     while began.elapsed() < seconds {
         if done < (began.elapsed().as_secs_f64() * changes as f64) as usize {
-            let hosts = (0..TOGETHER).map(|i| (done + i) * 7 % entries);
+            let hosts =
+                (done..done + TOGETHER).map(|i| if i % 2 == 0 { i * 7 % entries } else { i * 7 % HOT });
             let writes: Vec<Write> = hosts
                 .map(|host| {
                     status[host] = !status[host];
--- a/crates/lockusher-lab/src/main.rs
+++ b/crates/lockusher-lab/src/main.rs
@@ -32,6 +32,9 @@
         /// Run a reader beside it that reads the whole list each second.
         #[arg(long)]
         baseline: bool,
+        /// Spare the registry all trouble.
+        #[arg(long)]
+        calm: bool,
     },
     /// A large registry: a start, a burst of changes under load, a rebuild.
     Large {
@@ -74,9 +77,9 @@
             return lockusher_mixer::program::run(std::iter::once("lockusher".into()).chain(args));
         }
         Command::Demo => demo::run(),
-        Command::Registry { protocol, seed, seconds, hosts, baseline } => {
+        Command::Registry { protocol, seed, seconds, hosts, baseline, calm } => {
             let span = Duration::from_secs(seconds);
-            soak::run(&soak::Run { protocol: protocol.into(), seed, span, hosts, baseline })
+            soak::run(&soak::Run { protocol: protocol.into(), seed, span, hosts, baseline, calm })
         }
         Command::Large { protocol, entries, changes, seconds } => {
             large::run(protocol.into(), entries, changes, Duration::from_secs(seconds))
--- a/crates/lockusher-lab/src/soak.rs
+++ b/crates/lockusher-lab/src/soak.rs
@@ -32,6 +32,8 @@
     pub hosts: usize,
     /// Whether a reader of the whole list runs beside it.
     pub baseline: bool,
+    /// Whether the registry is spared all trouble.
+    pub calm: bool,
 }
 
 /// Rule 3: nothing new to a searcher past this after its mixer was told, and what one instant may be off another.
@@ -247,6 +249,8 @@
         all.iter().for_each(|e| e.member.does(|script| script.silent = true));
         std::thread::sleep(Duration::from_millis(20));
         all.iter().for_each(|e| e.relay.cut());
+        // Members hear of it before they speak again: what is said into a connection that has ended is not told.
+        std::thread::sleep(Duration::from_millis(20));
         all.iter().zip(silent).for_each(|(e, silent)| e.member.does(|script| script.silent = silent));
         self.counts.disconnects += 1;
     }
@@ -374,7 +378,7 @@
         }
         false => None,
     };
-    let load = Load::start(mixer.mixer.address, 4, Duration::from_millis(40));
+    let load = Load::start(mixer.mixer.address, 4, Duration::from_millis(40), 24);
 
     let mut troubles: Vec<Trouble> = Vec::new();
     let (mut next_change, mut next_trouble) = (Instant::now(), Instant::now() + Duration::from_millis(500));
@@ -388,7 +392,7 @@
             world.registry.put(fleet::NOISE, "x");
             next_change = now + Duration::from_millis(world.rng.random_range(50..400));
         }
-        if now >= next_trouble {
+        if now >= next_trouble && !run.calm {
             troubles.extend(world.trouble());
             next_trouble = now + Duration::from_millis(world.rng.random_range(300..2_000));
         }
--- a/crates/lockusher-lab/src/stand_in/world.rs
+++ b/crates/lockusher-lab/src/stand_in/world.rs
@@ -32,6 +32,10 @@
     pub knows: bool,
     /// Whether discovery must be asked, and tells nobody else.
     pub asks: bool,
+    /// Cells, shards that a searcher of one holds, and shards.
+    pub cells: usize,
+    pub in_a_row: usize,
+    pub shards: usize,
 }
 
 impl Default for Setup {
@@ -49,6 +53,9 @@
             connect_ms: 250,
             knows: true,
             asks: false,
+            cells: 3,
+            in_a_row: 3,
+            shards: 24,
         }
     }
 }
@@ -63,7 +70,7 @@
             "worth": 1.0, "late_value": 1.0, "dedup_window_us": 2_000_000,
         }],
         "extra": {
-            "cells": 3, "in_a_row": 3, "slices": 24, "least_share": [1.0], "need_by_class": [1.0],
+            "cells": setup.cells, "in_a_row": setup.in_a_row, "slices": setup.shards, "least_share": [1.0], "need_by_class": [1.0],
             "fetch_parts": [setup.second_step], "bundle_max": setup.most_parts,
         },
         "limits": {
--- a/crates/lockusher-registry/src/core/follow.rs
+++ b/crates/lockusher-registry/src/core/follow.rs
@@ -236,6 +236,13 @@
 const POLL_APART: Span = Span::from_millis(100);
 /// The first time staff are told that the registry is away, and then at twice the age each time.
 const AWAY: Span = Span::from_millis(10_000);
+/// What is told lies so far apart at least, so that a burst is folded: a fortieth of the grace for a drain.
+const TOLD_APART: Span = Span::from_millis(50);
+/// And so much further for each entry held: to take news in, the router looks through all searchers. With 20,000 and
+/// 5,000 changes a second, tellings 50 ms apart doubled the time that one multiget in a hundred took.
+const TOLD_APART_EACH: f64 = 10e-6;
+/// But never further than a quarter of the grace.
+const TOLD_APART_MOST: Span = Span::from_millis(500);
 /// A change after which less than this share of the searchers that were up is left is told of by itself.
 const FEW_LEFT: f64 = 0.5;
 
@@ -322,6 +329,12 @@
         }
     }
 
+    /// How far apart what is told should lie.
+    pub fn told_apart(&self) -> Span {
+        let entries = self.view.as_ref().map_or(0, View::entries);
+        (TOLD_APART + Span::from_secs(entries as f64 * TOLD_APART_EACH)).min(TOLD_APART_MOST)
+    }
+
     /// What has not been told: the whole view the first time, then each searcher that differs, once. It shows whole
     /// revisions only.
     pub fn news(&mut self) -> Option<List> {
--- a/crates/lockusher-registry/src/core/view.rs
+++ b/crates/lockusher-registry/src/core/view.rs
@@ -27,6 +27,8 @@
 pub struct View {
     pub version: Version,
     rows: BTreeMap<String, Row>,
+    /// Searchers that are up; counted as rows change, since each change tells how many there were.
+    up: usize,
 }
 
 /// What a change of the view came to.
@@ -64,6 +66,10 @@
     }
 }
 
+fn is_up((listed, _): &Line) -> bool {
+    listed.state == SearcherState::Up
+}
+
 impl View {
     pub fn lines(&self) -> impl Iterator<Item = &Line> {
         self.rows.values().filter_map(|row| row.line.as_ref())
@@ -77,10 +83,6 @@
         self.rows.values().filter(|row| !row.readable).count()
     }
 
-    fn up(&self) -> usize {
-        self.lines().filter(|(listed, _)| listed.state == SearcherState::Up).count()
-    }
-
     /// Takes another whole view. With `anew`, revisions of the one held say nothing about it.
     pub fn replace(
         &mut self,
@@ -90,7 +92,7 @@
         names: &Names,
         untold: &mut Untold,
     ) -> Altered {
-        let mut altered = Altered { up_before: self.up(), ..Altered::default() };
+        let mut altered = Altered { up_before: self.up, ..Altered::default() };
         let anew = anew || version.cluster != self.version.cluster;
         let named: BTreeSet<String> = entries.iter().map(|entry| entry.name.clone()).collect();
         let vanished: Vec<String> = self.rows.keys().filter(|name| !named.contains(*name)).cloned().collect();
@@ -103,13 +105,13 @@
             }
         }
         self.version = version;
-        altered.up = self.up();
+        altered.up = self.up;
         altered
     }
 
     /// Takes the changes of whole revisions, oldest first. What is not newer than the view came before and counts once.
     pub fn apply(&mut self, changes: Vec<Change>, names: &Names, untold: &mut Untold) -> Altered {
-        let mut altered = Altered { up_before: self.up(), ..Altered::default() };
+        let mut altered = Altered { up_before: self.up, ..Altered::default() };
         let held = self.version.revision;
         for Change { name, modified, value } in changes {
             if modified <= held {
@@ -121,7 +123,7 @@
             }
             self.version.revision = self.version.revision.max(modified);
         }
-        altered.up = self.up();
+        altered.up = self.up;
         altered
     }
 
@@ -146,6 +148,8 @@
             Ok(line) => {
                 row.readable = true;
                 if row.line.as_ref() != Some(&line) {
+                    self.up -= usize::from(row.line.as_ref().is_some_and(is_up));
+                    self.up += usize::from(is_up(&line));
                     row.line = Some(line.clone());
                     untold.note(line);
                 }
@@ -161,6 +165,7 @@
         let Some(row) = self.rows.remove(name) else { return };
         altered.vanished += 1;
         if let Some((mut listed, address)) = row.line {
+            self.up -= usize::from(listed.state == SearcherState::Up);
             listed.state = SearcherState::Gone;
             untold.note((listed, address));
         }
--- a/crates/lockusher-registry/src/io/mod.rs
+++ b/crates/lockusher-registry/src/io/mod.rs
@@ -20,10 +20,6 @@
 const MOST_WAITING: usize = 16;
 /// What one answer may take: 20,000 entries of some 200 bytes are 4 MB.
 const MOST_ANSWER: usize = 32 * 1024 * 1024;
-/// What is told lies so far apart, so that a burst of changes is folded and leaves the router its time; it is a
-/// fortieth of the grace for a drain.
-const TOLD_APART: Span = Span::from_millis(50);
-
 /// Where a call's answers go.
 #[derive(Clone)]
 struct Ear {
@@ -106,7 +102,7 @@
                 if let Some(list) = follower.news() {
                     place.send(told(list));
                 }
-                next_told = clock() + TOLD_APART;
+                next_told = clock() + follower.told_apart();
                 Vec::new()
             }
             () = tokio::time::sleep(Duration::from_micros(wait.as_micros())) => follower.step(clock(), None),
