--- a/crates/lockusher-lab/src/soak.rs
+++ b/crates/lockusher-lab/src/soak.rs
@@ -32,6 +32,8 @@
     pub hosts: usize,
     /// Whether a reader of the whole list runs beside it.
     pub baseline: bool,
+    /// Whether the mixer's own lines are left out.
+    pub quiet: bool,
     /// Whether the registry is spared all trouble.
     pub calm: bool,
 }
@@ -157,7 +159,7 @@
     heal: Box<dyn FnOnce()>,
 }
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Counts {
     changes: u64,
     drains: u64,
@@ -367,7 +369,7 @@
     let more = "  page: 7\n  silent_after_ms: 1000\n  wait_ms: 5000\n";
     let text = fleet::settings_text(run.protocol, &world.observed[0], more);
     let setup = Setup { knows: false, ..Setup::default() };
-    let mixer = Followed::start(&setup, &text, true)?;
+    let mixer = Followed::start(&setup, &text, run.quiet)?;
     crate::stand_in::until(|| mixer.mixer.get("/up").status == 200);
     let timed = Timed::new(&changes)?;
     let (plans, following) = follower(plan(run, &world.observed[1]), run.seed, timed.clone());
@@ -394,6 +396,14 @@
         }
         if now >= next_trouble && !run.calm {
             troubles.extend(world.trouble());
+            if !run.quiet {
+                eprintln!(
+                    "after {} ms: {:?}, {} troubles on",
+                    began.elapsed().as_millis(),
+                    world.counts,
+                    troubles.len()
+                );
+            }
             next_trouble = now + Duration::from_millis(world.rng.random_range(300..2_000));
         }
         std::thread::sleep(Duration::from_millis(5));
--- a/crates/lockusher-registry/src/core/endpoints.rs
+++ b/crates/lockusher-registry/src/core/endpoints.rs
@@ -11,8 +11,9 @@
 /// After its first failure an endpoint rests about so long, after each further one in a row twice as long: long
 /// enough for a process to be back, short beside the grace for a drain.
 const FIRST_REST: Span = Span::from_millis(100);
-/// It rests no longer than this: what an operator mends is found within some seconds.
-const LONGEST_REST: Span = Span::from_millis(8_000);
+/// It rests no longer than this, the grace for a drain: with 8 s, a registry that had been away for three was found
+/// again up to five seconds after its return.
+const LONGEST_REST: Span = Span::from_millis(2_000);
 /// No two tries of one mixer lie closer, whichever endpoints they are for: ten endpoints that all refuse are tried
 /// in half a second.
 const APART: Span = Span::from_millis(50);
--- a/crates/lockusher-registry/src/core/view.rs
+++ b/crates/lockusher-registry/src/core/view.rs
@@ -164,10 +164,10 @@
     fn remove(&mut self, name: &str, untold: &mut Untold, altered: &mut Altered) {
         let Some(row) = self.rows.remove(name) else { return };
         altered.vanished += 1;
-        if let Some((mut listed, address)) = row.line {
+        if let Some((mut listed, place)) = row.line {
             self.up -= usize::from(listed.state == SearcherState::Up);
             listed.state = SearcherState::Gone;
-            untold.note((listed, address));
+            untold.note((listed, place));
         }
     }
 }
