HTTP/2 towards hosts: a carrier of its own beside frames, off unless the settings name hosts

Need: hosts that offer HTTP/2 take many parts on few connections and say, on closing, which they never ran. Change: the router speaks to a Carrier (routing/carrier.rs), which unties it from transport/searchers; frames are one, HTTP/2 the other (transport/carriers.rs), chosen by zone, name pattern or registry entry. crates/lockusher-h2: a pure pool (connections, who carries what, slow filling, age, silence, resets bounded in rate), the table of outcomes, the mapping with its proto, and a tap that sees what really crossed the socket. In the lab a searcher scripted frame by frame.

--- /dev/null
+++ b/crates/lockusher-h2/src/lib.rs
@@ -0,0 +1,9 @@
+//! Parts to searchers over HTTP/2. [`pool`] decides (how many connections, which carries the next call, when one is
+//! retired, how fast a new one may fill, when to stop cancelling) and does no I/O; [`outcome`] says what an end means;
+//! [`wire`] is the mapping; [`tap`] sees what really crossed a socket; [`connection`] carries calls.
+
+pub mod connection;
+pub mod outcome;
+pub mod pool;
+pub mod tap;
+pub mod wire;
--- a/crates/lockusher-host/src/list.rs
+++ b/crates/lockusher-host/src/list.rs
@@ -30,6 +30,17 @@
     weight: Option<f64>,
     #[serde(default)]
     since_ms: u64,
+    /// What it can be spoken to by, beside frames.
+    #[serde(default)]
+    carrier: Offers,
+}
+
+#[derive(Serialize, Deserialize, Clone, Copy, Default, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum Offers {
+    #[default]
+    Frames,
+    Http2,
 }
 
 #[derive(Serialize, Deserialize, Clone, Copy)]
@@ -40,8 +51,15 @@
     Left,
 }
 
-/// A searcher, and where it listens.
-pub type Line = (Listed, SocketAddr);
+/// Where a searcher listens, and whether its line says that it speaks HTTP/2 there.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    pub address: SocketAddr,
+    pub http2: bool,
+}
+
+/// A searcher, and where it is.
+pub type Line = (Listed, Place);
 
 /// A list as it is used.
 pub struct List {
@@ -66,7 +84,7 @@
             up_since: (self.since_ms > 0).then(|| Time::from_micros(self.since_ms.saturating_mul(1_000))),
             rating: self.weight.unwrap_or(1.0),
         };
-        (listed, self.address)
+        (listed, Place { address: self.address, http2: self.carrier == Offers::Http2 })
     }
 }
 
@@ -94,15 +112,21 @@
     status: Status,
     weight: f64,
     since_ms: u64,
+    #[serde(skip_serializing_if = "is_frames")]
+    carrier: Offers,
+}
+
+fn is_frames(offers: &Offers) -> bool {
+    *offers == Offers::Frames
 }
 
 impl<'a> ListOut<'a> {
     /// A zone that the settings don't name is left empty.
     pub fn new(index: u64, lines: impl IntoIterator<Item = &'a Line>, names: &'a Names) -> Self {
         let named = |zone: Zone| names.zones.iter().find(|(_, z)| **z == zone).map(|(name, _)| name.as_str());
-        let line = |(listed, address): &'a Line| LineOut {
+        let line = |(listed, place): &'a Line| LineOut {
             name: listed.id.as_str(),
-            address: *address,
+            address: place.address,
             zone: listed.zone.and_then(named).unwrap_or_default(),
             group: listed.cell.0,
             status: match listed.state {
@@ -112,6 +136,7 @@
             },
             weight: listed.rating,
             since_ms: listed.up_since.map_or(0, |at| at.since(Time::from_micros(0)).as_micros() / 1_000),
+            carrier: if place.http2 { Offers::Http2 } else { Offers::Frames },
         };
         ListOut { index, snapshot: true, endpoints: lines.into_iter().map(line).collect() }
     }
--- a/crates/lockusher-lab/src/stand_in/mod.rs
+++ b/crates/lockusher-lab/src/stand_in/mod.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod discovery;
+pub mod http2;
 mod searcher;
 mod world;
 
--- a/crates/lockusher-mixer/src/operator.rs
+++ b/crates/lockusher-mixer/src/operator.rs
@@ -20,10 +20,27 @@
 pub struct Operator {
     /// The registry that is followed instead of discovery.
     pub registry: Option<Plan>,
+    /// Which hosts are spoken to by HTTP/2, and how.
+    pub http2: Option<Http2>,
     pub json_logs: bool,
     pub level: Level,
 }
 
+/// Which hosts are spoken to by HTTP/2, and the limits of that.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Http2 {
+    pub zones: Vec<String>,
+    /// Patterns of ids; a star stands for any letters.
+    pub names: Vec<String>,
+    pub entries: bool,
+    pub fall_back: bool,
+    pub most_connections: usize,
+    pub most_streams: usize,
+    pub age: Span,
+    pub silent_after: Span,
+    pub resets_per_s: f64,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Level {
     Debug,
@@ -88,7 +105,8 @@
         text::log::Level::Error => Level::Error,
     };
     let registry = settings.registry.map(|registry| plan(text, registry)).transpose()?;
-    Ok(Operator { registry, json_logs: log.form() == text::log::Form::Json, level })
+    let http2 = settings.http2.map(|read| http2(text, read)).transpose()?;
+    Ok(Operator { registry, http2, json_logs: log.form() == text::log::Form::Json, level })
 }
 
 fn plan(text: &str, registry: text::Registry) -> Result<Plan, Faulty> {
@@ -142,6 +160,36 @@
     Ok(Plan { protocol, endpoints, prefix, page, silent_after, settle, wait, stale })
 }
 
+fn http2(text: &str, read: text::Http2) -> Result<Http2, Faulty> {
+    let within = |key: &str, value: Option<u32>, default: u32, least: u32, most: u32| match value {
+        Some(value) if value < least || value > most => {
+            let line = place(text, &["http2", key], 0).unwrap_or(0);
+            Err(Faulty { line, why: format!("http2.{key}: {value} is not between {least} and {most}") })
+        }
+        value => Ok(value.unwrap_or(default)),
+    };
+    if read.zones.is_empty() && read.names.is_empty() && !read.entries {
+        let line = place(text, &["http2"], 0).unwrap_or(0);
+        return Err(Faulty {
+            line,
+            why: "http2: names no host: zones, names or entries is missing".to_owned(),
+        });
+    }
+    Ok(Http2 {
+        most_connections: within("most_connections", read.most_connections, 2, 1, 16)? as usize,
+        most_streams: within("most_streams", read.most_streams, 128, 1, 10_000)? as usize,
+        age: Span::from_millis(u64::from(within("age_s", read.age_s, 3_600, 1, 864_000)?) * 1_000),
+        silent_after: Span::from_millis(
+            within("silent_after_ms", read.silent_after_ms, 1_000, 50, 60_000)?.into(),
+        ),
+        resets_per_s: within("resets_per_s", read.resets_per_s, 10, 1, 10_000)?.into(),
+        zones: read.zones,
+        names: read.names,
+        entries: read.entries,
+        fall_back: read.fall_back,
+    })
+}
+
 fn line_at(text: &str, offset: usize) -> usize {
     let before = &text.as_bytes()[..offset.min(text.len())];
     before.iter().filter(|byte| **byte == b'\n').count() + 1
--- a/crates/lockusher-mixer/src/program/serve.rs
+++ b/crates/lockusher-mixer/src/program/serve.rs
@@ -8,7 +8,9 @@
 use super::configuration;
 use crate::clock::{Clock, duration};
 use crate::operator::{self, Operator};
+use crate::routing::carrier::Carrier;
 use crate::routing::{Arrival, Inlets, Router};
+use crate::transport::carriers::Carriers;
 use crate::transport::clients::{self, Desk, Stopping};
 use crate::transport::discovery;
 use crate::transport::searchers::Searchers;
@@ -29,6 +31,7 @@
 
 pub async fn serve(settings: Option<PathBuf>, operator: Operator) -> Result<()> {
     let mut config = configuration()?;
+    let held = operator.clone();
     let clock = Clock::start();
     let mut hung_up = signal(SignalKind::hangup())?;
     let mut terminated = signal(SignalKind::terminate())?;
@@ -38,7 +41,19 @@
     let (left, left_inlet) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(Stopping::No);
     let (can_serve, open, asked) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(0)), Rc::new(Notify::new()));
-    let searchers = Searchers::new(sockets, queue.clone());
+    let open_sockets = Rc::default();
+    let frames = Searchers::new(sockets, queue.clone(), Rc::clone(&open_sockets));
+    let searchers: Box<dyn Carrier> = match operator.http2.clone() {
+        Some(http2) => Box::new(Carriers::new(
+            frames,
+            http2,
+            sockets,
+            config.settings.names(),
+            open_sockets,
+            queue.clone(),
+        )),
+        None => Box::new(frames),
+    };
     let inlets = Inlets { arrivals, left: left_inlet };
     let mut router =
         Router::start(clock, &config, searchers, asked.clone(), inlets, can_serve.clone(), open.clone())
@@ -114,6 +129,9 @@
                         (None, None) => {}
                         _ => tracing::warn!("registry: to be set or unset it needs a restart"),
                     }
+                    if operator.http2 != held.http2 {
+                        tracing::warn!("http2: another value needs a restart; the old one stays in force");
+                    }
                     for key in config.needs_restart(&new) {
                         tracing::warn!("{key}: another value needs a restart; the old one stays in force");
                     }
--- /dev/null
+++ b/crates/lockusher-mixer/src/routing/carrier.rs
@@ -0,0 +1,53 @@
+//! What carries calls to searchers, as the router sees it. A carrier reports each send's end through the router's
+//! queue; what is told here is told of the searcher as a whole.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use lockusher::interface::{Listed, PartId, SearcherId};
+use lockusher_host::list::Place;
+
+use crate::protocol::frame::CallPart;
+
+/// Whether anyone still waits for a part.
+pub type Wanted = Rc<dyn Fn() -> bool>;
+/// A part with the number of its send.
+pub type Sent = (usize, CallPart, Wanted);
+/// One that had not left.
+pub type Unsent = (PartId, usize);
+
+pub trait Carrier {
+    /// Where a searcher listens. Connections to where it listened before carry nothing new.
+    fn at(&mut self, line: &Listed, place: Place) -> Vec<Unsent>;
+
+    /// Nothing new goes to a searcher: hands back what had not left, lets the rest end.
+    fn leave(&mut self, id: &SearcherId) -> Vec<Unsent>;
+
+    /// All that have an address.
+    fn known(&self) -> Vec<SearcherId>;
+
+    /// Parts that one call may hold.
+    fn most_parts(&self) -> usize;
+
+    /// Closes what unused connections there are to a searcher.
+    fn close_unused(&mut self, to: &SearcherId);
+
+    /// Sends a call of one or more parts; hands it back if no connection can be had for it, which says nothing of
+    /// the searcher.
+    fn send(&mut self, to: &SearcherId, call: Vec<Sent>) -> Result<(), Vec<Sent>>;
+
+    /// A send has waited in vain. Tells what else had not left and won't.
+    fn in_vain(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> Vec<Unsent>;
+
+    /// A send is late enough for a copy: is it the searcher, or the connection to it?
+    fn doubt(&mut self, to: &SearcherId, part: &PartId, nth: usize);
+
+    /// Gives a send up, wherever it is.
+    fn give_up(&mut self, to: &SearcherId, part: &PartId, nth: usize);
+
+    /// Takes back a send that has not left whole; tells whether that was so.
+    fn recall(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> bool;
+
+    /// What was written just now may reach its searcher after what is written to a client next: until when that is so.
+    fn on_its_way(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<Instant>;
+}
--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -3,21 +3,21 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use lockusher::interface::*;
 use lockusher_host::host::{NewPart, Wire};
+use lockusher_host::list::Place;
 use tokio::sync::{Notify, oneshot};
 
 use super::Given;
+use super::carrier::{Carrier, Sent, Wanted};
 use crate::clock::duration;
 use crate::must_hold;
 use crate::protocol::client::{self, Request};
 use crate::protocol::frame::CallPart;
-use crate::transport::searchers::{Searchers, Sent, Wanted};
 
 /// A multiget without its final answer.
 struct Open {
@@ -45,7 +45,7 @@
 type Begun = (u64, NewPart);
 
 pub struct Desk {
-    searchers: Searchers,
+    searchers: Box<dyn Carrier>,
     /// Parts of the second step, by op type.
     second_steps: Vec<usize>,
     asked: Rc<Notify>,
@@ -69,7 +69,7 @@
 
 impl Desk {
     pub fn new(
-        searchers: Searchers,
+        searchers: Box<dyn Carrier>,
         second_steps: Vec<usize>,
         asked: Rc<Notify>,
         most_values: usize,
@@ -156,9 +156,9 @@
     }
 
     /// A line of the list: nothing more goes to a searcher that drains or is gone.
-    pub fn listed(&mut self, line: &Listed, address: SocketAddr) {
+    pub fn listed(&mut self, line: &Listed, place: Place) {
         let unsent = match line.state {
-            SearcherState::Up => self.searchers.at(&line.id, address),
+            SearcherState::Up => self.searchers.at(line, place),
             SearcherState::Draining | SearcherState::Gone => self.searchers.leave(&line.id),
         };
         self.unsent(unsent);
@@ -171,15 +171,14 @@
 
     /// A complete list lacks these.
     pub fn missing(&mut self, missing: impl Fn(&SearcherId) -> bool) {
-        let gone: Vec<SearcherId> = self.searchers.known().filter(|id| missing(id)).cloned().collect();
-        for id in gone {
+        for id in self.searchers.known().into_iter().filter(|id| missing(id)) {
             let unsent = self.searchers.leave(&id);
             self.unsent(unsent);
         }
     }
 
     pub fn knows_any(&self) -> bool {
-        self.searchers.known().next().is_some()
+        !self.searchers.known().is_empty()
     }
 
     /// A send has ended; tells when it began, unless it had ended before.
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! The one task that owns the decision module. Sockets reach it through its queue only.
 
+pub mod carrier;
 mod desk;
 
 use std::cell::Cell;
@@ -17,7 +18,7 @@
 use crate::config::{Config, Sockets};
 use crate::must_hold;
 use crate::protocol::client::{Request, Unusable};
-use crate::transport::searchers::{Searchers, Wanted};
+use carrier::{Carrier, Wanted};
 use desk::Desk;
 use lockusher_host::list::List;
 
@@ -82,7 +83,7 @@
     pub fn start(
         clock: Clock,
         config: &Config,
-        searchers: Searchers,
+        searchers: Box<dyn Carrier>,
         asked: Rc<Notify>,
         inlets: Inlets,
         can_serve: Rc<Cell<bool>>,
@@ -215,8 +216,8 @@
             let named: HashSet<&SearcherId> = list.lines.iter().map(|(line, _)| &line.id).collect();
             self.desk.missing(|id| !named.contains(id));
         }
-        for (line, address) in &list.lines {
-            self.desk.listed(line, *address);
+        for (line, place) in &list.lines {
+            self.desk.listed(line, *place);
         }
         self.host.news(now, kind(list.lines.into_iter().map(|(line, _)| line).collect()));
         self.can_serve.set(self.can_serve.get() || self.desk.knows_any());
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -24,9 +24,9 @@
 use crate::config::Sockets;
 use crate::protocol::MOST_BODY;
 use crate::protocol::client::{self, Head, Unusable};
+use crate::routing::carrier::Wanted;
 use crate::routing::{Arrival, Asked, Given};
 use crate::transport::client_stream::{ClientStream, Connections, Usage};
-use crate::transport::searchers::Wanted;
 
 /// How long accepting pauses when it can't go on, so that it neither spins nor keeps anyone waiting.
 const PAUSE: Duration = Duration::from_millis(10);
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::SinkExt;
 use lockusher::interface::*;
+use lockusher_host::list::Place;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -17,17 +18,11 @@
 use crate::clock::duration;
 use crate::config::Sockets;
 use crate::must_hold;
-use crate::protocol::frame::{self, CallPart, FromSearcher, PartEnded};
+use crate::protocol::frame::{self, FromSearcher, PartEnded};
+use crate::routing::carrier::{Carrier, Sent, Unsent};
 use crate::routing::{Arrival, SendEnded};
 
-/// Whether anyone still waits for a part.
-pub type Wanted = Rc<dyn Fn() -> bool>;
-/// A part with the number of its send.
-pub type Sent = (usize, CallPart, Wanted);
-/// One that had not left.
-pub type Unsent = (PartId, usize);
-
-/// All connections to searchers, by searcher.
+/// All connections to searchers, by searcher: frames over TCP, each carrying a few calls.
 pub struct Searchers {
     sockets: Sockets,
     addresses: HashMap<SearcherId, SocketAddr>,
@@ -37,28 +32,10 @@
 }
 
 impl Searchers {
-    pub fn new(sockets: Sockets, queue: mpsc::Sender<Arrival>) -> Self {
+    /// `open` counts the descriptors in use for searchers, which other carriers share.
+    pub fn new(sockets: Sockets, queue: mpsc::Sender<Arrival>, open: Rc<Cell<usize>>) -> Self {
         let (addresses, connections) = (HashMap::new(), HashMap::new());
-        Searchers { sockets, addresses, connections, queue, open: Rc::default() }
-    }
-
-    /// Where a searcher listens. Connections to where it listened before carry nothing new.
-    pub fn at(&mut self, id: &SearcherId, address: SocketAddr) -> Vec<Unsent> {
-        match self.addresses.insert(id.clone(), address) {
-            Some(before) if before != address => self.retire(id),
-            _ => Vec::new(),
-        }
-    }
-
-    /// Nothing new goes to a searcher: hands back what had not left, lets the rest end.
-    pub fn leave(&mut self, id: &SearcherId) -> Vec<Unsent> {
-        self.addresses.remove(id);
-        self.retire(id)
-    }
-
-    /// All that have an address.
-    pub fn known(&self) -> impl Iterator<Item = &SearcherId> {
-        self.addresses.keys()
+        Searchers { sockets, addresses, connections, queue, open }
     }
 
     /// Searchers come and go for good: nothing is kept of connections that have ended.
@@ -74,21 +51,56 @@
         self.connections.get(id).into_iter().flatten().flat_map(|c| c.retire()).collect()
     }
 
-    pub fn most_parts(&self) -> usize {
+    /// Whether one more connection may be opened; with too many, the one unused for longest is closed for it.
+    fn room(&self) -> bool {
+        if self.open.get() < self.sockets.most_searchers {
+            return true;
+        }
+        let all = self.connections.values().flatten();
+        let unused = all.filter(|c| c.counted.get() && c.state.get() == State::Open && c.unused());
+        let Some(connection) = unused.min_by_key(|c| c.used.get()) else { return false };
+        // Its descriptor is free before the new one's task begins.
+        connection.uncount();
+        connection.retire();
+        true
+    }
+
+    fn carrier(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<&Rc<Connection>> {
+        let mut connections = self.connections.get(to).into_iter().flatten();
+        connections.find(|c| c.out.borrow().get(part).is_some_and(|out| out.nth == nth))
+    }
+}
+
+impl Carrier for Searchers {
+    fn at(&mut self, line: &Listed, Place { address, .. }: Place) -> Vec<Unsent> {
+        match self.addresses.insert(line.id.clone(), address) {
+            Some(before) if before != address => self.retire(&line.id),
+            _ => Vec::new(),
+        }
+    }
+
+    fn leave(&mut self, id: &SearcherId) -> Vec<Unsent> {
+        self.addresses.remove(id);
+        self.retire(id)
+    }
+
+    fn known(&self) -> Vec<SearcherId> {
+        self.addresses.keys().cloned().collect()
+    }
+
+    fn most_parts(&self) -> usize {
         self.sockets.most_parts
     }
 
-    /// Closes what unused connections there are to a searcher.
-    pub fn close_unused(&mut self, to: &SearcherId) {
+    fn close_unused(&mut self, to: &SearcherId) {
         for connection in self.connections.get(to).into_iter().flatten().filter(|c| c.unused()) {
             let unsent = connection.retire();
             must_hold!(unsent.is_empty(), "nothing waits on an unused connection");
         }
     }
 
-    /// Sends a call of one or more parts; hands it back if no connection can be had for it: that its searcher has
-    /// no address, or that no descriptor is left, says nothing of the searcher.
-    pub fn send(&mut self, to: &SearcherId, call: Vec<Sent>) -> Result<(), Vec<Sent>> {
+    /// Handed back where the searcher has no address, or no descriptor is left.
+    fn send(&mut self, to: &SearcherId, call: Vec<Sent>) -> Result<(), Vec<Sent>> {
         must_hold!(call.len() <= self.sockets.most_parts, "a call holds no more parts than it may");
         let Some(address) = self.addresses.get(to).copied() else {
             return Err(call);
@@ -116,23 +128,9 @@
         Ok(())
     }
 
-    /// Whether one more connection may be opened; with too many, the one unused for longest is closed for it.
-    fn room(&self) -> bool {
-        if self.open.get() < self.sockets.most_searchers {
-            return true;
-        }
-        let all = self.connections.values().flatten();
-        let unused = all.filter(|c| c.counted.get() && c.state.get() == State::Open && c.unused());
-        let Some(connection) = unused.min_by_key(|c| c.used.get()) else { return false };
-        // Its descriptor is free before the new one's task begins.
-        connection.uncount();
-        connection.retire();
-        true
-    }
-
     /// A send has waited in vain: if nothing at all has come on its connection since it left, nothing new goes
     /// there. Tells what had not left.
-    pub fn in_vain(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> Vec<Unsent> {
+    fn in_vain(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> Vec<Unsent> {
         let Some(connection) = self.carrier(to, part, nth) else { return Vec::new() };
         if connection.silent_since(part) { connection.retire() } else { Vec::new() }
     }
@@ -141,7 +139,7 @@
     /// how it is, there and on a new connection: if it says so on the new one alone, the old one has fallen silent.
     /// Guards against boxes between and machines that forgot a connection; costs a handshake where a searcher
     /// stands still.
-    pub fn doubt(&mut self, to: &SearcherId, part: &PartId, nth: usize) {
+    fn doubt(&mut self, to: &SearcherId, part: &PartId, nth: usize) {
         let Some(doubted) = self.carrier(to, part, nth).cloned() else { return };
         let address = self.addresses.get(to).copied().filter(|_| self.sockets.may_probe);
         let doubtful =
@@ -155,15 +153,13 @@
         self.connections.entry(to.clone()).or_default().push(other);
     }
 
-    /// Gives a send up, wherever it is.
-    pub fn give_up(&mut self, to: &SearcherId, part: &PartId, nth: usize) {
+    fn give_up(&mut self, to: &SearcherId, part: &PartId, nth: usize) {
         if let Some(connection) = self.carrier(to, part, nth) {
             connection.give_up(part);
         }
     }
 
-    /// Takes back a send that has not left whole; tells whether that was so.
-    pub fn recall(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> bool {
+    fn recall(&mut self, to: &SearcherId, part: &PartId, nth: usize) -> bool {
         let Some(connection) = self.carrier(to, part, nth) else { return false };
         let unsent = connection.out.borrow().get(part).is_some_and(|out| out.way != Way::Written);
         if unsent {
@@ -174,18 +170,13 @@
 
     /// A frame written just now may reach its searcher after what is written to a client next: until when that is
     /// so. It takes longer on a connection on which nothing has come yet, as its first frame waits for a handshake.
-    pub fn on_its_way(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<Instant> {
+    fn on_its_way(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<Instant> {
         let connection = self.carrier(to, part, nth)?;
         let written = connection.out.borrow().get(part).filter(|out| out.way == Way::Written)?.at;
         let share = if connection.met.get() { 50 } else { 10 };
         let until = written + duration(self.sockets.connect_timeout) / share;
         (until > Instant::now()).then_some(until)
     }
-
-    fn carrier(&self, to: &SearcherId, part: &PartId, nth: usize) -> Option<&Rc<Connection>> {
-        let mut connections = self.connections.get(to).into_iter().flatten();
-        connections.find(|c| c.out.borrow().get(part).is_some_and(|out| out.nth == nth))
-    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -7,11 +7,13 @@
 use std::time::{Duration, Instant};
 
 use lockusher::interface::*;
+use lockusher_host::list::Place;
 use lockusher_lab::stand_in::*;
 use lockusher_mixer::config;
 use lockusher_mixer::protocol::frame::CallPart;
 use lockusher_mixer::routing::Arrival;
-use lockusher_mixer::transport::searchers::{Searchers, Sent, Wanted};
+use lockusher_mixer::routing::carrier::{Carrier, Sent, Wanted};
+use lockusher_mixer::transport::searchers::Searchers;
 use rstest::rstest;
 use serde_json::json;
 
@@ -269,7 +271,7 @@
         let others = thread::spawn(start).join().expect("searchers");
         for other in &others {
             let to = SearcherId::new(&other.name);
-            searchers.at(&to, other.address);
+            searchers.at(&up(&other.name), Place { address: other.address, http2: false });
             assert!(searchers.send(&to, call(5)).is_ok());
             assert!(
                 matches!(arrivals.recv().await, Some(Arrival::Ended(e)) if e.outcome == Outcome::Returned)
@@ -723,6 +725,12 @@
     )]
 }
 
+/// A line of the list for a searcher that is up.
+fn up(id: &str) -> Listed {
+    let (id, state) = (SearcherId::new(id), SearcherState::Up);
+    Listed { id, cell: Cell(0), zone: None, state, up_since: None, rating: 1.0 }
+}
+
 /// Connections to one searcher without a router.
 fn on_connections(
     setup: Setup,
@@ -734,8 +742,8 @@
     let sockets = config::parse(&text.to_string(), |_| None).expect("a configuration").sockets;
     actix_rt::System::new().block_on(async {
         let (queue, mut arrivals) = tokio::sync::mpsc::channel(8);
-        let mut searchers = Searchers::new(sockets, queue);
-        searchers.at(&SearcherId::new("s0"), searcher.address);
+        let mut searchers = Searchers::new(sockets, queue, Rc::default());
+        searchers.at(&up("s0"), Place { address: searcher.address, http2: false });
         story(&searcher, &mut searchers, &mut arrivals).await;
     });
 }
