Lab: hosts over HTTP/2 in trouble, carriers side by side; windows, pushes, endless headers met

Change: lockusher-lab http2 (hosts close mid-burst, refuse, stall, lower limits, drain and restart cold under four mixers; each host tallies what came and what ran), lockusher-lab carriers (the same work over frames and over HTTP/2, with restarts if wanted); stories of a searcher that grants nothing, large values, a push, headers without end, settings never acknowledged. The frames' stand-in sends each answer at once.

--- a/crates/lockusher-lab/src/lib.rs
+++ b/crates/lockusher-lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod demo;
 pub mod fleet;
+pub mod http2;
 pub mod large;
 pub mod registry;
 pub mod soak;
--- a/crates/lockusher-lab/src/main.rs
+++ b/crates/lockusher-lab/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use lockusher_lab::{demo, large, soak};
+use lockusher_lab::{demo, http2, large, soak};
 use lockusher_registry::core::follow::Protocol;
 
 #[derive(Parser)]
@@ -51,6 +51,28 @@
         #[arg(long, default_value_t = 10)]
         seconds: u64,
     },
+    /// Hosts that speak HTTP/2 close, refuse, stall, lower limits, drain and restart cold under load.
+    Http2 {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        #[arg(long, default_value_t = 12)]
+        hosts: usize,
+        /// Parts of a multiget.
+        #[arg(long, default_value_t = 5)]
+        width: usize,
+    },
+    /// The same work over frames and over HTTP/2, one after the other.
+    Carriers {
+        #[arg(long, default_value_t = 5)]
+        width: usize,
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+        /// Hosts restart one after the other meanwhile.
+        #[arg(long)]
+        restarts: bool,
+    },
     /// The mixer itself, as the stories start it.
     #[command(hide = true, disable_help_flag = true)]
     Mixer {
@@ -92,6 +114,12 @@
                 quiet: !verbose,
             })
         }
+        Command::Http2 { seed, seconds, hosts, width } => {
+            http2::run(seed, Duration::from_secs(seconds), hosts, width)
+        }
+        Command::Carriers { width, seconds, restarts } => {
+            http2::carriers(width, Duration::from_secs(seconds), restarts)
+        }
         Command::Large { protocol, entries, changes, seconds } => {
             large::run(protocol.into(), entries, changes, Duration::from_secs(seconds))
         }
--- a/crates/lockusher-lab/src/stand_in/client.rs
+++ b/crates/lockusher-lab/src/stand_in/client.rs
@@ -60,6 +60,16 @@
     )
 }
 
+/// A request of any op type.
+pub fn request_of(op_type: &str, id: &str, body: &str) -> Vec<u8> {
+    format!(
+        "POST /{op_type} HTTP/1.1\r\nHost: app\r\nReq-Id: {id}\r\nReq-Kind: {op_type}\r\nReq-Owner: acme\r\n\
+         Req-Deadline: 4000m\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
 pub fn request(id: &str, body: &str) -> Vec<u8> {
     format!("{}Content-Length: {}\r\n\r\n{body}", head(id, "4000m"), body.len()).into_bytes()
 }
--- a/crates/lockusher-lab/src/stand_in/http2.rs
+++ b/crates/lockusher-lab/src/stand_in/http2.rs
@@ -33,6 +33,8 @@
     Half,
     Noise,
     Status(u16),
+    /// A value of so many bytes.
+    Large(usize),
 }
 
 /// What is said on all connections.
@@ -51,6 +53,12 @@
     Mute,
     /// It reads nothing more.
     Stuck,
+    /// It grants no more windows.
+    Grudges,
+    /// A push, which its client has forbidden.
+    Pushes,
+    /// A list of headers that never ends.
+    Endless,
 }
 
 type Script = dyn Fn(&str) -> Does + Send + Sync;
@@ -78,15 +86,19 @@
     says: broadcast::Sender<Says>,
     /// What the first settings allow, if they say so.
     allows: Mutex<Option<u32>>,
+    /// Whether it acknowledges settings.
+    acks: Mutex<bool>,
 }
 
 const DATA: u8 = 0;
 const HEADERS: u8 = 1;
 const RST_STREAM: u8 = 3;
 const SETTINGS: u8 = 4;
+const PUSH_PROMISE: u8 = 5;
 const PING: u8 = 6;
 const GOAWAY: u8 = 7;
 const WINDOW_UPDATE: u8 = 8;
+const CONTINUATION: u8 = 9;
 const END_STREAM: u8 = 1;
 const ACK: u8 = 1;
 const END_HEADERS: u8 = 4;
@@ -114,8 +126,12 @@
     }
 }
 
-fn end_of(part: &pb::Part, end: pb::part_end::End) -> Vec<u8> {
-    let value = if end == pb::part_end::End::Good { format!("v{}", part.id) } else { String::new() };
+fn end_of(part: &pb::Part, end: pb::part_end::End, large: usize) -> Vec<u8> {
+    let value = match (end, large) {
+        (pb::part_end::End::Good, 0) => format!("v{}", part.id),
+        (pb::part_end::End::Good, bytes) => "x".repeat(bytes),
+        _ => String::new(),
+    };
     let score = 1_000 - i64::from(part.shard);
     let end = pb::PartEnd {
         id: part.id.clone(),
@@ -137,6 +153,7 @@
     /// Streams beyond this are not run.
     last: Arc<Mutex<u32>>,
     answered: Arc<Mutex<bool>>,
+    grants: bool,
     first: usize,
 }
 
@@ -152,6 +169,7 @@
             log: Mutex::default(),
             says,
             allows: Mutex::new(allows),
+            acks: Mutex::new(true),
         });
         let this = host.clone();
         tokio::spawn(async move {
@@ -181,6 +199,11 @@
         let _ = self.says.send(what);
     }
 
+    /// It never acknowledges settings from here on.
+    pub fn acknowledges_nothing(&self) {
+        *locked(&self.acks) = false;
+    }
+
     pub fn log(&self) -> Log {
         locked(&self.log).clone()
     }
@@ -216,6 +239,7 @@
             newest: 0,
             last: Arc::new(Mutex::new(HIGHEST)),
             answered: Arc::default(),
+            grants: true,
             first: 0,
         };
         let (mut read, mut some) = (Vec::new(), vec![0; 64 * 1024]);
@@ -256,6 +280,19 @@
                     Ok(Says::Allows(streams)) => drop(line.out.send(allowing(streams))),
                     Ok(Says::Close) | Err(_) => break,
                     Ok(Says::Mute) => muted = Some(std::mem::replace(&mut line.out, mpsc::unbounded_channel().0)),
+                    Ok(Says::Grudges) => line.grants = false,
+                    Ok(Says::Pushes) => {
+                        let promise = [&2_u32.to_be_bytes()[..], &[0x82]].concat();
+                        let _ = line.out.send(frame(PUSH_PROMISE, END_HEADERS, line.newest, &promise));
+                    }
+                    Ok(Says::Endless) => {
+                        // One header after another, each of a kilobyte.
+                        let value = [&[0x00, 1, b'x', 0x7f, 0xe9, 0x06][..], &[b'y'; 1_000]].concat();
+                        let _ = line.out.send(frame(HEADERS, 0, line.newest, &value));
+                        for _ in 0..2_000 {
+                            let _ = line.out.send(frame(CONTINUATION, 0, line.newest, &value));
+                        }
+                    }
                     Ok(Says::Stuck) => std::future::pending().await,
                 },
             }
@@ -299,6 +336,7 @@
         let stream = u32::from_be_bytes([bytes[5], bytes[6], bytes[7], bytes[8]]) & HIGHEST;
         let payload = &bytes[9..];
         match kind {
+            SETTINGS if flags & ACK == 0 && !*locked(&self.host.acks) => {}
             SETTINGS if flags & ACK == 0 => drop(self.out.send(frame(SETTINGS, ACK, 0, &[]))),
             PING if flags & ACK == 0 => drop(self.out.send(frame(PING, ACK, 0, payload))),
             HEADERS => {
@@ -318,7 +356,7 @@
                 if let Some(body) = self.bodies.get_mut(&stream) {
                     body.extend_from_slice(payload);
                 }
-                if !payload.is_empty() {
+                if !payload.is_empty() && self.grants {
                     let grant = (payload.len() as u32).to_be_bytes();
                     let _ = self.out.send(frame(WINDOW_UPDATE, 0, 0, &grant));
                     if flags & END_STREAM == 0 {
@@ -375,7 +413,7 @@
             Some(half) => {
                 call.parts.iter().for_each(ran);
                 let message = match half {
-                    Does::Half => end_of(&call.parts[0], pb::part_end::End::Good),
+                    Does::Half => end_of(&call.parts[0], pb::part_end::End::Good, 0),
                     _ => vec![3, 0xa5, 0xa5, 0xa5, 0xa5],
                 };
                 let message = if *half == Does::Half { &message[..message.len() / 2] } else { &message };
@@ -409,7 +447,11 @@
                     silent = true;
                     continue;
                 }
-                let _ = out.send(frame(DATA, 0, stream, &end_of(part, end)));
+                let large = if let Does::Large(bytes) = does { bytes } else { 0 };
+                // No frame is larger than what every client takes.
+                for some in end_of(part, end, large).chunks(16_000) {
+                    let _ = out.send(frame(DATA, 0, stream, some));
+                }
             }
             *locked(&answered) = true;
             // Reset by its client meanwhile, it is closed already.
--- a/crates/lockusher-lab/src/stand_in/mod.rs
+++ b/crates/lockusher-lab/src/stand_in/mod.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-pub use client::{Answer, Client, body, head, request};
+pub use client::{Answer, Client, body, head, request, request_of};
 pub use discovery::{Discovery, Says};
 pub use searcher::{Act, Log, Searcher, Seen, frame};
 pub use world::{Mixer, Setup, World, line, settings, until};
--- a/crates/lockusher-lab/src/stand_in/searcher.rs
+++ b/crates/lockusher-lab/src/stand_in/searcher.rs
@@ -170,6 +170,8 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
+        // Each answer is a write of its own: none waits for the one before to be acknowledged.
+        let _ = stream.set_nodelay(true);
         // A probe at once: a searcher may ask as well.
         let _ = stream.write_all(&[frame(b'o', b""), frame(b'p', b"")].concat());
         let mut mute = false;
--- a/crates/lockusher-lab/src/stand_in/world.rs
+++ b/crates/lockusher-lab/src/stand_in/world.rs
@@ -36,6 +36,10 @@
     pub cells: usize,
     pub in_a_row: usize,
     pub shards: usize,
+    /// Mixers side by side.
+    pub mixers: usize,
+    /// Whether there is a second op type, `once`, whose parts must not be repeated.
+    pub once: bool,
 }
 
 impl Default for Setup {
@@ -56,22 +60,28 @@
             cells: 3,
             in_a_row: 3,
             shards: 24,
+            mixers: 1,
+            once: false,
         }
     }
 }
 
 pub fn settings(setup: &Setup) -> Value {
+    let grade = |name: &str, effect: &str| {
+        json!({ "name": name, "promise_us": 300_000, "deadline_us": 5_000_000, "effect": effect, "worth": 1.0,
+            "late_value": 1.0, "dedup_window_us": 2_000_000 })
+    };
+    let once = setup.once.then(|| grade("once", "unsafe"));
+    let grades: Vec<Value> = [grade("look", setup.effect)].into_iter().chain(once).collect();
+    let kinds = grades.len();
     json!({
-        "balancers": 1, "tick_us": 5000, "localities": ["here"], "locality": "here",
+        "balancers": setup.mixers, "tick_us": 5000, "localities": ["here"], "locality": "here",
         "membership_mode": if setup.asks { "on_request" } else { "pushed" }, "prices": {},
         "parties": [{ "name": "acme", "quota_per_s": 1000.0 }],
-        "grades": [{
-            "name": "look", "promise_us": 300_000, "deadline_us": 5_000_000, "effect": setup.effect,
-            "worth": 1.0, "late_value": 1.0, "dedup_window_us": 2_000_000,
-        }],
+        "grades": grades,
         "extra": {
-            "cells": setup.cells, "in_a_row": setup.in_a_row, "slices": setup.shards, "least_share": [1.0], "need_by_class": [1.0],
-            "fetch_parts": [setup.second_step], "bundle_max": setup.most_parts,
+            "cells": setup.cells, "in_a_row": setup.in_a_row, "slices": setup.shards, "least_share": vec![1.0; kinds], "need_by_class": vec![1.0; kinds],
+            "fetch_parts": vec![setup.second_step; kinds], "bundle_max": setup.most_parts,
         },
         "limits": {
             "max_attempts": 4, "parallel_tries": setup.effect == "safe", "may_cancel": true, "probes": true, "retry_after": true,
@@ -156,6 +166,11 @@
         std::fs::write(&self.file, config.to_string()).expect("a file");
     }
 
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     fn proc(&self, file: &str) -> String {
         std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).expect("it runs")
     }
--- a/crates/lockusher-lab/tests/http2.rs
+++ b/crates/lockusher-lab/tests/http2.rs
@@ -295,6 +295,83 @@
     });
 }
 
+/// Hard case 6: one that grants no more windows: what fits leaves, the rest is taken back; another host is served on.
+#[rstest]
+fn a_searcher_that_grants_nothing() {
+    story(Some(100), limits(), async |story| {
+        story.call(&["a.1"]);
+        story.ends(1).await;
+        story.searcher.does(|_| Does::Silent);
+        story.searcher.says(Says::Grudges);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let part = |id: &str| Part {
+            id: PartId::new(id),
+            shard: Shard(1),
+            wait: Span::from_millis(4_000),
+            first_step: None,
+            text: vec![b'x'; 30_000].into(),
+        };
+        for id in ["b.1", "c.1", "d.1"] {
+            let sent = Sent { nth: 0, part: part(id), wanted: Rc::new(|| true) };
+            assert!(story.host.send(vec![sent]).is_ok());
+        }
+        story.came(3).await;
+        let taken_back = |id: &str| story.host.recall(&PartId::new(id), 0);
+        assert_eq!((taken_back("b.1"), taken_back("d.1")), (false, true));
+    });
+}
+
+/// Hard case 6: values larger than a frame and near the largest that is read, several at once.
+#[rstest]
+fn large_values() {
+    story(Some(100), limits(), async |story| {
+        story.searcher.does(|_| Does::Large(120_000));
+        for round in 0..6 {
+            for i in 0..4 {
+                story.call(&[&format!("r{round}x{i}.1")]);
+            }
+            assert!(all(&story.ends(4).await, Outcome::Returned));
+        }
+        story.searcher.does(|id| if id == "b.1" { Does::Large(200_000) } else { Does::Good });
+        story.call(&["b.1"]);
+        assert_eq!(story.ends(1).await["b.1"], Outcome::Error, "more than any value may take");
+        story.call(&["c.1"]);
+        assert_eq!(story.ends(1).await["c.1"], Outcome::Returned);
+    });
+}
+
+/// Hard case 8: what no searcher may say ends its connection; what has left may have run; another serves on.
+#[rstest]
+#[case::a_push(Says::Pushes)]
+#[case::headers_that_never_end(Says::Endless)]
+fn what_no_searcher_may_say(#[case] says: Says) {
+    story(Some(100), limits(), async |story| {
+        story.call(&["a.1"]);
+        story.ends(1).await;
+        story.searcher.does(|id| if id == "b.1" { Does::Silent } else { Does::Good });
+        story.call(&["b.1"]);
+        story.came(2).await;
+        story.searcher.says(says);
+        let end = story.ends(1).await["b.1"];
+        assert!(matches!(end, Outcome::Broken | Outcome::Error | Outcome::Lost), "{end:?}");
+        story.call(&["c.1"]);
+        assert_eq!(story.ends(1).await["c.1"], Outcome::Returned);
+    });
+}
+
+/// Hard case 8: settings that are never acknowledged harm nobody.
+#[rstest]
+fn settings_that_are_never_acknowledged() {
+    story(Some(100), limits(), async |story| {
+        story.searcher.acknowledges_nothing();
+        for i in 0..20 {
+            story.call(&[&format!("q{i}.1")]);
+            assert!(all(&story.ends(1).await, Outcome::Returned));
+        }
+        assert_eq!(story.searcher.log().opened, 1);
+    });
+}
+
 /// Hard case 7: give-ups are resets, bounded in rate; the connection and what else is out there live on.
 #[rstest]
 fn many_give_ups() {
