--- a/crates/lockusher-h2/src/connection.rs
+++ b/crates/lockusher-h2/src/connection.rs
@@ -105,6 +105,8 @@
     address: SocketAddr,
     pool: RefCell<Pool>,
     calls: RefCell<HashMap<CallId, Call>>,
+    /// Where each send that has not ended is.
+    sends: RefCell<HashMap<(PartId, usize), CallId>>,
     links: RefCell<HashMap<ConnectionId, Rc<Link>>>,
     next: Cell<u64>,
     speaks: Cell<bool>,
@@ -118,6 +120,7 @@
             shared,
             address,
             calls: RefCell::default(),
+            sends: RefCell::default(),
             links: RefCell::default(),
             next: Cell::new(0),
             speaks: Cell::new(true),
@@ -170,7 +173,11 @@
             return Err(call);
         }
         let parts = call.into_iter().map(|sent| Out { nth: sent.nth, part: sent.part, wanted: sent.wanted });
-        let call = Call { parts: parts.collect(), on: None, stream: None, answered: false, writer: None };
+        let parts: Vec<Out> = parts.collect();
+        let mut sends = self.sends.borrow_mut();
+        sends.extend(parts.iter().map(|out| ((out.part.id.clone(), out.nth), id)));
+        drop(sends);
+        let call = Call { parts, on: None, stream: None, answered: false, writer: None };
         self.calls.borrow_mut().insert(id, call);
         self.kick();
         Ok(())
@@ -179,8 +186,7 @@
     /// Nothing new goes there: hands back what has not left, lets the rest end.
     pub fn leave(&self) -> Vec<(PartId, usize)> {
         let waiting = self.pool.borrow_mut().leave();
-        let mut calls = self.calls.borrow_mut();
-        let parts = waiting.into_iter().filter_map(|id| calls.remove(&id)).flat_map(|call| call.parts);
+        let parts = waiting.into_iter().filter_map(|id| self.take(id)).flat_map(|call| call.parts);
         let unsent = parts.map(|out| (out.part.id, out.nth)).collect();
         self.wake.notify_one();
         unsent
@@ -192,8 +198,26 @@
     }
 
     fn find(&self, part: &PartId, nth: usize) -> Option<CallId> {
-        let holds = |call: &Call| call.parts.iter().any(|out| out.part.id == *part && out.nth == nth);
-        self.calls.borrow().iter().find(|(_, call)| holds(call)).map(|(id, _)| *id)
+        self.sends.borrow().get(&(part.clone(), nth)).copied()
+    }
+
+    /// A send of a call has ended, or is not waited for any more; tells whether others of the call are.
+    fn drop_send(&self, id: CallId, part: &PartId, nth: usize) -> bool {
+        self.sends.borrow_mut().remove(&(part.clone(), nth));
+        let mut calls = self.calls.borrow_mut();
+        let Some(call) = calls.get_mut(&id) else { return false };
+        call.parts.retain(|out| out.part.id != *part || out.nth != nth);
+        !call.parts.is_empty()
+    }
+
+    /// Takes a call out of hand, with all its sends.
+    fn take(&self, id: CallId) -> Option<Call> {
+        let call = self.calls.borrow_mut().remove(&id)?;
+        let mut sends = self.sends.borrow_mut();
+        for out in &call.parts {
+            sends.remove(&(out.part.id.clone(), out.nth));
+        }
+        Some(call)
     }
 
     fn seen(&self, id: CallId) -> Option<(Rc<Seen>, u32, ConnectionId)> {
@@ -212,14 +236,9 @@
     pub fn give_up(&self, part: &PartId, nth: usize) {
         let Some(id) = self.find(part, nth) else { return };
         if !self.recall(part, nth) {
-            let left = {
-                let mut calls = self.calls.borrow_mut();
-                let Some(call) = calls.get_mut(&id) else { return };
-                call.parts.retain(|out| out.part.id != *part || out.nth != nth);
-                call.parts.len()
-            };
+            let others = self.drop_send(id, part, nth);
             let on = self.calls.borrow().get(&id).and_then(|call| Some(call.on.as_ref()?.0));
-            if let (0, Some(on)) = (left, on)
+            if let (false, Some(on)) = (others, on)
                 && self.pool.borrow_mut().may_reset(self.shared.now(), on)
             {
                 self.reset(id);
@@ -233,19 +252,15 @@
         if self.left(id).is_some() {
             return false;
         }
-        let (begun, others) = {
-            let mut calls = self.calls.borrow_mut();
-            let Some(call) = calls.get_mut(&id) else { return false };
-            call.parts.retain(|out| out.part.id != *part || out.nth != nth);
-            (call.on.is_some(), !call.parts.is_empty())
-        };
+        let begun = self.calls.borrow().get(&id).is_some_and(|call| call.on.is_some());
+        let others = self.drop_send(id, part, nth);
         if begun {
             // Some of it may be on its way: without its end it never runs. Its neighbours are told that by the
             // stream's end, as never having left.
             self.reset(id);
         } else if !others {
             self.pool.borrow_mut().take_back(id);
-            self.calls.borrow_mut().remove(&id);
+            self.take(id);
         }
         true
     }
@@ -564,6 +579,7 @@
             place.map(|place| call.parts.swap_remove(place))
         };
         let Some(out) = out else { return };
+        self.sends.borrow_mut().remove(&(end.id.clone(), out.nth));
         let answer = (end.outcome == Outcome::Returned).then_some((end.score, end.value));
         let came = Came { part: end.id, nth: out.nth, outcome: end.outcome, at: Instant::now(), answer };
         self.shared.tell(came).await;
@@ -572,7 +588,7 @@
     /// A call is over: its parts that have not ended by themselves come to what its end means.
     async fn end(&self, id: CallId, end: End) {
         let seen = self.seen(id);
-        let Some(call) = self.calls.borrow_mut().remove(&id) else { return };
+        let Some(call) = self.take(id) else { return };
         let left = seen.as_ref().is_some_and(|(seen, stream, _)| seen.left(*stream).is_some());
         let last = seen.as_ref().and_then(|(seen, stream, _)| Some(seen.last()?.0 >= *stream));
         if let Some((seen, stream, _)) = seen {
--- a/crates/lockusher-lab/src/http2.rs
+++ b/crates/lockusher-lab/src/http2.rs
@@ -357,10 +357,18 @@
 }
 
 /// The same load over frames, then over HTTP/2; with `restarts`, a host drops what it has not begun, one after the other.
-pub fn carriers(width: usize, span: Duration, restarts: bool) -> Result<bool> {
+pub fn carriers(width: usize, span: Duration, restarts: bool, calls: usize, sockets: usize) -> Result<bool> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-    let setup =
-        Setup { knows: false, once: true, shards: 400, most_open: 4_000, most_parts: 8, ..Setup::default() };
+    let setup = Setup {
+        knows: false,
+        once: true,
+        shards: 400,
+        most_open: 4_000,
+        most_parts: 8,
+        most_calls: calls,
+        sockets,
+        ..Setup::default()
+    };
     let every = Duration::from_millis(20 + 2 * width as u64);
     let mut figures = Vec::new();
     for http2 in [false, true] {
@@ -410,7 +418,10 @@
         let name = if http2 { "http2" } else { "frames" };
         figures.push(measured(name, &mixer, &ends, parts, connections, cpu));
     }
-    println!("width={width} restarts={restarts} {}", figures.join(" "));
+    println!(
+        "width={width} restarts={restarts} frames_calls={calls} sockets={sockets} {}",
+        figures.join(" ")
+    );
     Ok(true)
 }
 
--- a/crates/lockusher-lab/src/main.rs
+++ b/crates/lockusher-lab/src/main.rs
@@ -72,6 +72,11 @@
         /// Hosts restart one after the other meanwhile.
         #[arg(long)]
         restarts: bool,
+        /// Calls that one connection of frames carries, and descriptors that the mixer may hold.
+        #[arg(long, default_value_t = 32)]
+        calls: usize,
+        #[arg(long, default_value_t = 256)]
+        sockets: usize,
     },
     /// The mixer itself, as the stories start it.
     #[command(hide = true, disable_help_flag = true)]
@@ -117,8 +122,8 @@
         Command::Http2 { seed, seconds, hosts, width } => {
             http2::run(seed, Duration::from_secs(seconds), hosts, width)
         }
-        Command::Carriers { width, seconds, restarts } => {
-            http2::carriers(width, Duration::from_secs(seconds), restarts)
+        Command::Carriers { width, seconds, restarts, calls, sockets } => {
+            http2::carriers(width, Duration::from_secs(seconds), restarts, calls, sockets)
         }
         Command::Large { protocol, entries, changes, seconds } => {
             large::run(protocol.into(), entries, changes, Duration::from_secs(seconds))
