--- a/crates/lockusher-lab/tests/http2.rs
+++ b/crates/lockusher-lab/tests/http2.rs
@@ -514,3 +514,41 @@
     assert_eq!(client.ask("on", &[4]).status, 200);
     assert!(!frames.log().parts.is_empty());
 }
+
+/// Which carrier a host gets is what its entry says; one that moves to the other keeps serving.
+#[rstest]
+fn carriers_by_entry() {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("one");
+    let registry = Registry::new(7);
+    let endpoints = runtime.block_on(fleet::endpoints(&registry, Protocol::Etcd, 1)).expect("a port");
+    let wide = http2_hosts(&runtime, 1).remove(0);
+    let frames = Searcher::start("f0");
+    let put = |name: &str, address: std::net::SocketAddr, carrier: &str| {
+        let line = format!(r#"{{"address":"{address}","group":0,"status":"active","carrier":"{carrier}"}}"#);
+        registry.put(&fleet::key(name), line)
+    };
+    put("h0", wide.address, "http2");
+    put("f0", frames.address, "frames");
+    let text = format!("{}http2 {{ entries: true }}\n", fleet::settings_text(Protocol::Etcd, &endpoints, ""));
+    let followed =
+        Followed::start(&Setup { knows: false, ..Setup::default() }, &text, false).expect("it starts");
+    until(|| followed.mixer.get("/up").status == 200);
+    let (mut client, mut asked) = (followed.mixer.client(), 0);
+    let mut ask = || {
+        asked += 1;
+        client.ask(&format!("q{asked}"), &[asked, asked + 1]).status
+    };
+    until(|| {
+        assert_eq!(ask(), 200);
+        !wide.log().ran.is_empty() && !frames.log().parts.is_empty()
+    });
+    // The host that spoke HTTP/2 comes back elsewhere, speaking frames.
+    let again = Searcher::start("h0");
+    put("h0", again.address, "frames");
+    until(|| {
+        assert_eq!(ask(), 200);
+        !again.log().parts.is_empty()
+    });
+    until(|| wide.log().closed == wide.log().opened);
+}
--- a/crates/lockusher-mixer/tests/settings.rs
+++ b/crates/lockusher-mixer/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use lockusher::interface::Span;
 use lockusher_mixer::operator::{Level, Operator, parse};
+use lockusher_mixer::transport::carriers::matches;
 use lockusher_registry::core::follow::Protocol;
 use rstest::rstest;
 
@@ -13,6 +14,8 @@
     let plan = read.registry.expect("a registry");
     assert_eq!((plan.protocol, plan.endpoints.len(), plan.page), (Protocol::Etcd, 3, 1_000));
     assert_eq!((plan.silent_after, plan.stale), (Span::from_millis(3_000), None));
+    let http2 = read.http2.expect("hosts by HTTP/2");
+    assert_eq!((http2.entries, http2.fall_back, http2.most_streams), (true, true, 128));
     assert_eq!(parse("# nothing\n"), Ok(Operator::default()));
     assert_eq!(
         parse("log { level: WARN form: JSON }").map(|o| (o.json_logs, o.level)),
@@ -23,7 +26,7 @@
 #[rstest]
 #[case::no_such_key(4, "  endpints: \"a:1\"", 4, "endpints")]
 #[case::a_word_for_a_number(14, "  page: many", 14, "expected an integer")]
-#[case::not_closed(20, "", 20, "reached end of input")]
+#[case::not_closed(26, "", 26, "reached end of input")]
 #[case::no_such_protocol(6, "  protocol: ZOOKEEPER", 6, "ZOOKEEPER")]
 #[case::no_protocol(6, "", 5, "registry.protocol: missing")]
 #[case::not_host_and_port(
@@ -44,6 +47,8 @@
 #[case::a_negative_number(14, "  settle_ms: -1", 14, "out of range")]
 #[case::stale_reads_of_etcd(14, "  stale_ms: 5", 14, "registry.stale_ms: only Consul")]
 #[case::no_page(12, "  page: 0", 12, "registry.page: must not be 0")]
+#[case::no_host(19, "", 18, "http2: names no host")]
+#[case::no_streams(20, "  most_streams: 0", 20, "http2.most_streams: 0 is not between 1 and")]
 #[case::set_twice(14, "  prefix: \"b\"", 14, "prefix")]
 fn a_fault_names_its_line(#[case] at: usize, #[case] text: &str, #[case] line: usize, #[case] says: &str) {
     let mut lines: Vec<&str> = GOOD.lines().collect();
@@ -51,3 +56,14 @@
     let fault = parse(&lines.join("\n")).expect_err("a fault");
     assert!(fault.line == line && fault.why.contains(says), "{fault:?}");
 }
+
+#[rstest]
+#[case("roll-*", "roll-7", true)]
+#[case("roll-*", "enroll-7", false)]
+#[case("*-b-*", "x-b-y", true)]
+#[case("*", "", true)]
+#[case("roll", "roll-7", false)]
+#[case("**7", "27", true)]
+fn a_star_stands_for_any_letters(#[case] pattern: &str, #[case] id: &str, #[case] wanted: bool) {
+    assert_eq!(matches(pattern, id), wanted);
+}
