--- a/crates/lockusher-h2/src/pool.rs
+++ b/crates/lockusher-h2/src/pool.rs
@@ -24,6 +24,8 @@
     pub most_connections: usize,
     /// Calls on one connection at once, whatever the searcher allows.
     pub most_streams: usize,
+    /// Calls that one connection carries in its life, [`MOST_CALLS`] at most.
+    pub most_calls: u64,
     /// Calls that may wait for a stream.
     pub most_waiting: usize,
     /// A connection unused for so long is closed, one that has served for so long is retired.
@@ -41,7 +43,7 @@
 /// Resets that may come at once.
 const RESETS_AT_ONCE: f64 = 20.0;
 /// Stream ids are 31 bits and odd; a connection is retired well before they are used up.
-const MOST_STREAM_IDS: u64 = 1 << 29;
+pub const MOST_CALLS: u64 = 1 << 29;
 /// After a searcher's wish for calm, or a connection that did not come up, the first rest; it doubles each time.
 const FIRST_REST: Span = Span::from_millis(100);
 const LONGEST_REST: Span = Span::from_millis(5_000);
@@ -297,7 +299,7 @@
         let mut acts = Vec::new();
         let limits = self.limits;
         for (id, connection) in &mut self.connections {
-            let old = now.since(connection.opened) >= limits.age || connection.begun >= MOST_STREAM_IDS;
+            let old = now.since(connection.opened) >= limits.age || connection.begun >= limits.most_calls;
             if connection.state == State::Open && old {
                 connection.state = State::Retired;
             }
--- a/crates/lockusher-h2/tests/pool.rs
+++ b/crates/lockusher-h2/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use lockusher::interface::{Outcome, Span, Time};
 use lockusher_h2::outcome::{CANCEL, ENHANCE_YOUR_CALM, End, Known, REFUSED_STREAM, outcome};
-use lockusher_h2::pool::{Act, CallId, ConnectionId, Ended, Limits, Pool};
+use lockusher_h2::pool::{Act, CallId, ConnectionId, Ended, Limits, MOST_CALLS, Pool};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -12,6 +12,7 @@
     Limits {
         most_connections: 2,
         most_streams: 64,
+        most_calls: MOST_CALLS,
         most_waiting: 500,
         idle: Span::from_millis(10_000),
         age: Span::from_millis(60_000),
@@ -175,6 +176,31 @@
     assert!(story.acts(61_800).contains(&Act::Close(ConnectionId(1))));
 }
 
+/// Hard case 8: a connection whose stream ids come to their end is replaced by another before they do.
+#[rstest]
+fn stream_ids_that_are_used_up() {
+    let mut story = Story::new(Limits { most_calls: 6, ..limits() });
+    let mut opened = Vec::new();
+    for ms in 0..40 {
+        story.calls(1);
+        for act in [story.acts(ms), story.acts(ms)].concat() {
+            match act {
+                Act::Open(id) => {
+                    story.pool.opened(at(ms), id);
+                    opened.push(id);
+                }
+                Act::Close(id) => drop(story.pool.over(at(ms), id)),
+                _ => {}
+            }
+        }
+        for id in &opened {
+            story.all_end(ms, id.0, Ended::Well);
+        }
+    }
+    assert!((6..=8).contains(&opened.len()), "{opened:?}");
+    assert!(story.pool.waiting() <= 1);
+}
+
 /// Hard case 3: a searcher that asks for calm is left alone for longer and longer, and what waits stays.
 #[rstest]
 fn calm_is_kept() {
--- a/crates/lockusher-lab/tests/http2.rs
+++ b/crates/lockusher-lab/tests/http2.rs
@@ -9,7 +9,7 @@
 use lockusher::interface::{Outcome, PartId, Shard, Span};
 use lockusher_h2::connection::{Came, Host, Sent, Shared};
 use lockusher_h2::outcome::{CANCEL, REFUSED_STREAM};
-use lockusher_h2::pool::Limits;
+use lockusher_h2::pool::{Limits, MOST_CALLS};
 use lockusher_h2::wire::Part;
 use lockusher_lab::fleet::{self, Followed};
 use lockusher_lab::registry::Registry;
@@ -23,6 +23,7 @@
     Limits {
         most_connections: 2,
         most_streams: 64,
+        most_calls: MOST_CALLS,
         most_waiting: 500,
         idle: Span::from_millis(10_000),
         age: Span::from_millis(60_000),
--- a/crates/lockusher-mixer/src/transport/carriers.rs
+++ b/crates/lockusher-mixer/src/transport/carriers.rs
@@ -7,7 +7,7 @@
 
 use lockusher::interface::*;
 use lockusher_h2::connection::{Came, Host, Sent as H2Sent, Shared};
-use lockusher_h2::pool::Limits;
+use lockusher_h2::pool::{Limits, MOST_CALLS};
 use lockusher_h2::wire;
 use lockusher_host::list::Place;
 use lockusher_host::settings::Names;
@@ -72,6 +72,7 @@
         let limits = Limits {
             most_connections: http2.most_connections,
             most_streams: http2.most_streams,
+            most_calls: MOST_CALLS,
             most_waiting: sockets.most_open,
             idle: sockets.idle,
             age: http2.age,
