Lab: a mixer that is stopped and continued while clients leave early

Change: lockusher-lab standstill stops and continues the mixer from 50 to 400 ms at random points; searchers note when a part's frame had come whole, clients when they closed or had their answer. Whether the run finds a mixer that does not look for its client is still to be shown.

--- a/crates/lockusher-lab/src/lib.rs
+++ b/crates/lockusher-lab/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod registry;
 pub mod soak;
 pub mod stand_in;
+pub mod standstill;
--- a/crates/lockusher-lab/src/main.rs
+++ b/crates/lockusher-lab/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use lockusher_lab::{demo, http2, large, soak};
+use lockusher_lab::{demo, http2, large, soak, standstill};
 use lockusher_registry::core::follow::Protocol;
 
 #[derive(Parser)]
@@ -63,6 +63,16 @@
         #[arg(long, default_value_t = 5)]
         width: usize,
     },
+    /// A mixer that is stopped and continued while clients leave early: nothing may leave too late.
+    Standstill {
+        /// Each searcher leaves one part in so many unanswered.
+        #[arg(long, default_value_t = 40)]
+        silent_one_in: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+    },
     /// The same work over frames and over HTTP/2, one after the other.
     Carriers {
         #[arg(long, default_value_t = 5)]
@@ -122,6 +132,9 @@
         Command::Http2 { seed, seconds, hosts, width } => {
             http2::run(seed, Duration::from_secs(seconds), hosts, width)
         }
+        Command::Standstill { seed, seconds, silent_one_in } => {
+            standstill::run(seed, Duration::from_secs(seconds), silent_one_in)
+        }
         Command::Carriers { width, seconds, restarts, calls, sockets } => {
             http2::carriers(width, Duration::from_secs(seconds), restarts, calls, sockets)
         }
--- a/crates/lockusher-lab/src/stand_in/client.rs
+++ b/crates/lockusher-lab/src/stand_in/client.rs
@@ -100,6 +100,14 @@
         Some(Answer { status, headers, body: String::from_utf8(body).ok()? })
     }
 
+    /// The next answer if it is whole within this; the connection is of no more use if not.
+    pub fn read_within(&mut self, patience: std::time::Duration) -> Option<Answer> {
+        self.stream.get_ref().set_read_timeout(Some(patience)).expect("a time-out");
+        let answer = self.read();
+        self.stream.get_ref().set_read_timeout(Some(LONG)).expect("a time-out");
+        answer
+    }
+
     pub fn ask(&mut self, id: &str, shards: &[usize]) -> Answer {
         self.write(&request(id, &body(shards)));
         self.read().expect("an answer")
