--- a/crates/lockusher-registry/tests/follow.rs
+++ b/crates/lockusher-registry/tests/follow.rs
@@ -238,7 +238,11 @@
     story.changes(&[put("a", 20, "leaving")], false);
     story.hear(Heard::Failed { why: "cut".to_owned() }).until_asked();
     let lagging = story.endpoint();
-    story.opened(15).until_asked();
+    story.opened(15);
+    // At once, not once it has been silent for long.
+    let passed_over = |n: &Notice| matches!(n, Notice::Contradicts { from, .. } if *from == lagging);
+    assert_eq!(story.says(passed_over), 1);
+    story.until_asked();
     assert_ne!(story.endpoint(), lagging);
     assert!(matches!(story.asked(), Act::Watch { start: Revision(21), .. }));
     story.opened(22);
