--- a/crates/lockusher-lab/tests/http2.rs
+++ b/crates/lockusher-lab/tests/http2.rs
@@ -39,19 +39,20 @@
     came: mpsc::Receiver<Came>,
 }
 
+/// A part that is wanted to the end, with so many bytes of text.
+fn sent(id: &str, bytes: usize) -> Sent {
+    let text = vec![b'x'; bytes].into();
+    let (id, wait) = (PartId::new(id), Span::from_millis(4_000));
+    Sent {
+        nth: 0,
+        part: Part { id, shard: Shard(3), wait, first_step: None, text },
+        wanted: Rc::new(|| true),
+    }
+}
+
 impl Story {
     fn call(&self, ids: &[&str]) {
-        let sent = |id: &&str| Sent {
-            nth: 0,
-            part: Part {
-                id: PartId::new(id),
-                shard: Shard(3),
-                wait: Span::from_millis(4_000),
-                first_step: None,
-                text: "x".into(),
-            },
-            wanted: Rc::new(|| true),
-        };
+        let sent = |id: &&str| sent(id, 1);
         assert!(self.host.send(ids.iter().map(sent).collect()).is_ok());
     }
 
@@ -274,19 +275,8 @@
         story.searcher.says(Says::Stuck);
         tokio::time::sleep(Duration::from_millis(20)).await;
         // More than all windows and socket buffers hold.
-        let large = |i: usize| Sent {
-            nth: 0,
-            part: Part {
-                id: PartId::new(&format!("l{i}.1")),
-                shard: Shard(1),
-                wait: Span::from_millis(4_000),
-                first_step: None,
-                text: vec![b'x'; 60_000].into(),
-            },
-            wanted: Rc::new(|| true),
-        };
         for i in 0..4 {
-            assert!(story.host.send(vec![large(i)]).is_ok());
+            assert!(story.host.send(vec![sent(&format!("l{i}.1"), 60_000)]).is_ok());
         }
         tokio::time::sleep(Duration::from_millis(30)).await;
         assert!(story.host.recall(&PartId::new("l3.1"), 0), "it has not left whole");
@@ -305,16 +295,8 @@
         story.searcher.does(|_| Does::Silent);
         story.searcher.says(Says::Grudges);
         tokio::time::sleep(Duration::from_millis(20)).await;
-        let part = |id: &str| Part {
-            id: PartId::new(id),
-            shard: Shard(1),
-            wait: Span::from_millis(4_000),
-            first_step: None,
-            text: vec![b'x'; 30_000].into(),
-        };
         for id in ["b.1", "c.1", "d.1"] {
-            let sent = Sent { nth: 0, part: part(id), wanted: Rc::new(|| true) };
-            assert!(story.host.send(vec![sent]).is_ok());
+            assert!(story.host.send(vec![sent(id, 30_000)]).is_ok());
         }
         story.came(3).await;
         let taken_back = |id: &str| story.host.recall(&PartId::new(id), 0);
