Signals wake the mixer through a pipe: it held a pair of Unix sockets, which the platform refuses

Need: the standing test allows TCP and UDP over IPv4 alone. Reading the program found no process started, no fork, io_uring, splice or sendfile; a test of the serving mixer as the system lists it found one socket of another kind: 'socket 71019 is not TCP or UDP over IPv4: unix', the pair that tokio's signal handling keeps for its wake-ups.

--- a/crates/lockusher-lab/src/stand_in/world.rs
+++ b/crates/lockusher-lab/src/stand_in/world.rs
@@ -166,6 +166,11 @@
         std::fs::write(&self.file, config.to_string()).expect("a file");
     }
 
+    /// Its process id, for what the system says of it.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
@@ -293,6 +298,11 @@
         self.mixer.most_memory()
     }
 
+    /// The mixer's process id.
+    pub fn pid(&self) -> u32 {
+        self.mixer.pid()
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         self.mixer.ended()
     }
--- a/crates/lockusher-mixer/src/program/mod.rs
+++ b/crates/lockusher-mixer/src/program/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod dump;
 mod serve;
+mod signals;
 
 use std::ffi::OsString;
 use std::path::PathBuf;
--- a/crates/lockusher-mixer/src/program/serve.rs
+++ b/crates/lockusher-mixer/src/program/serve.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::configuration;
+use super::signals::{Signals, Told};
 use crate::clock::{Clock, duration};
 use crate::operator::{self, Operator};
 use crate::routing::carrier::Carrier;
@@ -16,7 +17,6 @@
 use crate::transport::searchers::Searchers;
 use anyhow::{Context, Result};
 use lockusher_registry::io::follow;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 
 /// A process told to stop is killed no sooner than this after the longest route timeout, of which no more than
@@ -33,9 +33,7 @@
     let mut config = configuration()?;
     let held = operator.clone();
     let clock = Clock::start();
-    let mut hung_up = signal(SignalKind::hangup())?;
-    let mut terminated = signal(SignalKind::terminate())?;
-    let mut interrupted = signal(SignalKind::interrupt())?;
+    let mut signals = Signals::heed().context("signals")?;
     let sockets = config.sockets;
     let (queue, arrivals) = mpsc::channel(sockets.most_open);
     let (left, left_inlet) = mpsc::unbounded_channel();
@@ -112,7 +110,9 @@
     loop {
         tokio::select! {
             // What is in hand, connections and what was learned stay; only the watch moves.
-            Some(()) = hung_up.recv() => match read_again(moves.is_some()) {
+            told = signals.next() => match told {
+                Told::Stop => break,
+                Told::HangUp => match read_again(moves.is_some()) {
                 Ok((new, operator)) => {
                     let name = &config.name;
                     if let (Some(moves), Ok(discovery)) = (&moves, new.needs_discovery()) {
@@ -138,8 +138,7 @@
                 }
                 Err(error) => tracing::error!("configuration not read again, the old one stays in force: {error:#}"),
             },
-            _ = terminated.recv() => break,
-            _ = interrupted.recv() => break,
+            },
             ended = &mut routing => {
                 ended.context("routing")?;
                 anyhow::bail!("routing has ended");
