A mixer tells once a second what it pushed back, with and without sends

Change: routing/tally.rs counts final answers (whole, partial, pushed back before any send, pushed back after sends, failed) and sends; the desk writes one structured line a second at most, and only for a second with a push-back or failure, so a calm mixer is silent.

--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -14,6 +14,7 @@
 
 use super::Given;
 use super::carrier::{Carrier, Sent, Wanted};
+use super::tally::Tally;
 use crate::clock::duration;
 use crate::must_hold;
 use crate::protocol::client::{self, Request};
@@ -65,6 +66,8 @@
     /// Sends that ended here, and second steps that began.
     ended: Vec<EndedHere>,
     begun: Vec<Begun>,
+    /// What became of the multigets of each second, for the log.
+    tally: Tally,
 }
 
 impl Desk {
@@ -89,12 +92,25 @@
             departing: Vec::new(),
             ended: Vec::new(),
             begun: Vec::new(),
+            tally: Tally::default(),
         }
     }
 
     /// A batch begins.
     pub fn begin(&mut self, now: Time) {
         self.now = now;
+        if let Some((counts, span)) = self.tally.over(now) {
+            tracing::info!(
+                answered = counts.answered,
+                partial = counts.partial,
+                pushed_back_unsent = counts.pushed_back_unsent,
+                pushed_back_sent = counts.pushed_back_sent,
+                failed = counts.failed,
+                sends = counts.sends,
+                over_ms = (span.as_secs() * 1_000.0).round() as u64,
+                "final answers"
+            );
+        }
     }
 
     pub fn holds(&self, id: &MultigetId) -> bool {
@@ -317,6 +333,7 @@
         let first_step = open.first_step.clone().filter(|_| part.second_step);
         let (shard, wait, text) = (part.shard, order.timeout, open.text.clone());
         let call = CallPart { id, shard, wait, first_step, text };
+        self.tally.sent();
         self.departing.push((order.to.clone(), (nth, call, open.wanted.clone())));
     }
 
@@ -336,6 +353,7 @@
         let open = self.close(&multiget.id);
         must_hold!(open.is_some(), "a multiget gets one final answer");
         let Some(open) = open else { return };
+        self.tally.replied(reply, multiget.parts.iter().any(|part| !part.sends.is_empty()));
         let given = match reply {
             Reply::PushedBack { come_back_in } => Given::PushedBack(come_back_in),
             Reply::Failed => Given::Failed,
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod carrier;
 mod desk;
+mod tally;
 
 use std::cell::Cell;
 use std::collections::HashSet;
--- /dev/null
+++ b/crates/lockusher-mixer/src/routing/tally.rs
@@ -0,0 +1,90 @@
+//! What became of the multigets of each second, for the log: a push-back for which nothing was sent tells of a gate
+//! that would not let it in; one after sends, of parts that could not be had. At 300 mixers the first kind, if it
+//! comes from a gate that has stopped learning, shows as mixers that push back nearly all while their neighbours do
+//! not (issue 25, docs/standing.md). Decides nothing, reads no clock: the router gives the time.
+
+use lockusher::interface::{Reply, Span, Time};
+
+/// One line a second at most: often enough to follow a trouble of a few seconds, rare enough for a fleet's logs.
+const EVERY: Span = Span::from_millis(1_000);
+
+/// Final answers and sends of one stretch of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub answered: u32,
+    pub partial: u32,
+    /// Pushed back before any of its parts was sent.
+    pub pushed_back_unsent: u32,
+    pub pushed_back_sent: u32,
+    pub failed: u32,
+    pub sends: u32,
+}
+
+impl Counts {
+    fn troubled(&self) -> bool {
+        self.pushed_back_unsent + self.pushed_back_sent + self.failed > 0
+    }
+}
+
+/// The counts of the stretch that is going on, and since when.
+#[derive(Default)]
+pub struct Tally {
+    since: Option<Time>,
+    counts: Counts,
+}
+
+impl Tally {
+    /// A final answer; `sent` whether any part of it was ever sent.
+    pub fn replied(&mut self, reply: Reply, sent: bool) {
+        let counts = &mut self.counts;
+        match reply {
+            Reply::Answered { whole: true } => counts.answered += 1,
+            Reply::Answered { whole: false } => counts.partial += 1,
+            Reply::PushedBack { .. } if sent => counts.pushed_back_sent += 1,
+            Reply::PushedBack { .. } => counts.pushed_back_unsent += 1,
+            Reply::Failed => counts.failed += 1,
+        }
+    }
+
+    pub fn sent(&mut self) {
+        self.counts.sends += 1;
+    }
+
+    /// Once a stretch is over: its counts and length, if anything in it was pushed back or failed; a calm mixer
+    /// says nothing. The next stretch begins now.
+    pub fn over(&mut self, now: Time) -> Option<(Counts, Span)> {
+        let since = *self.since.get_or_insert(now);
+        if now.since(since) < EVERY {
+            return None;
+        }
+        let counts = std::mem::take(&mut self.counts);
+        self.since = Some(now);
+        counts.troubled().then_some((counts, now.since(since)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BACK: Reply = Reply::PushedBack { come_back_in: None };
+
+    #[test]
+    fn a_calm_second_says_nothing_and_a_gate_that_shuts_is_told_once_a_second() {
+        let mut tally = Tally::default();
+        let at = |ms: u64| Time::from_micros(ms * 1_000);
+        assert_eq!(tally.over(at(0)), None);
+        tally.sent();
+        tally.replied(Reply::Answered { whole: true }, true);
+        assert_eq!(tally.over(at(1_000)), None, "answers alone are not told");
+        for _ in 0..40 {
+            tally.replied(BACK, false);
+        }
+        tally.replied(BACK, true);
+        assert_eq!(tally.over(at(1_500)), None, "not before the second is over");
+        let (counts, span) = tally.over(at(2_100)).expect("told");
+        assert_eq!((counts.pushed_back_unsent, counts.pushed_back_sent, counts.sends), (40, 1, 0));
+        assert_eq!(span, Span::from_millis(1_100));
+        assert_eq!(tally.over(at(3_200)), None, "what was told is not told again");
+    }
+}
