A push-back without a send tells, once a second, what the gate believed of each holder

Change: Policy::believed gives what hopeless() sees of a multiget (per part the holder it would pick, what it expects there, whether nothing is out there, how long since it was heard from, its share of good sends; the pass for idle ones, the time left, the unserved share, the fleet's middle latency), on a copy of the random numbers so that no decision moves. The host asks for it only where the wire wants one: the mixer's desk once a second, the drill never.

--- a/crates/lockusher-host/src/host.rs
+++ b/crates/lockusher-host/src/host.rs
@@ -18,6 +18,12 @@
     fn reply(&mut self, multiget: &Multiget, reply: Reply);
     /// Subscribes to discovery.
     fn subscribe(&mut self);
+    /// Whether it would keep what the gate believed at the next fresh multiget pushed back.
+    fn wants_belief(&self) -> bool {
+        false
+    }
+    /// What the gate believed of a fresh multiget that it pushed back, for a trace.
+    fn believed(&mut self, _multiget: &Multiget, _belief: Belief) {}
 }
 
 /// A multiget as it is taken.
@@ -211,6 +217,10 @@
         } else {
             multiget.ended = true;
         }
+        let fresh = multiget.parts.iter().all(|part| part.sends.is_empty());
+        if matches!(reply, Reply::PushedBack { .. }) && fresh && wire.wants_belief() {
+            wire.believed(multiget, self.policy.believed(now, multiget));
+        }
         wire.reply(multiget, reply);
     }
 
--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -382,4 +382,33 @@
     fn subscribe(&mut self) {
         self.asked.notify_one();
     }
+
+    fn wants_belief(&self) -> bool {
+        self.tally.tell_belief()
+    }
+
+    fn believed(&mut self, multiget: &Multiget, belief: Belief) {
+        /// A few parts tell what the gate thought; a wide multiget would fill the log.
+        const SHOWN: usize = 6;
+        self.tally.belief_told();
+        let ms = |secs: f64| (secs * 1_000.0).round() as i64;
+        let pick = |pick: &Option<Believed>| match pick {
+            Some((id, expected, idle, heard, good)) => {
+                let idle = if *idle { " idle" } else { "" };
+                format!("{}:{}ms{idle} heard {}ms ago good {good:.2}", id.as_str(), ms(*expected), ms(*heard))
+            }
+            None => "none".to_owned(),
+        };
+        let picks: Vec<String> = belief.picks.iter().take(SHOWN).map(pick).collect();
+        tracing::info!(
+            multiget = multiget.id.as_str(),
+            parts = belief.picks.len(),
+            pass = format!("{:.2}", belief.pass),
+            left_ms = ms(belief.left),
+            unserved = format!("{:.2}", belief.unserved),
+            peers_ms = ms(belief.peers),
+            picks = picks.join("; "),
+            "pushed back unsent"
+        );
+    }
 }
--- a/crates/lockusher-mixer/src/routing/tally.rs
+++ b/crates/lockusher-mixer/src/routing/tally.rs
@@ -31,6 +31,8 @@
 pub struct Tally {
     since: Option<Time>,
     counts: Counts,
+    /// Whether what the gate believed was told in this stretch: once is enough to follow it.
+    believed: bool,
 }
 
 impl Tally {
@@ -46,6 +48,15 @@
         }
     }
 
+    /// Whether the gate's belief at a push-back is to be told now; once a stretch.
+    pub fn tell_belief(&self) -> bool {
+        !self.believed
+    }
+
+    pub fn belief_told(&mut self) {
+        self.believed = true;
+    }
+
     pub fn sent(&mut self) {
         self.counts.sends += 1;
     }
@@ -58,7 +69,7 @@
             return None;
         }
         let counts = std::mem::take(&mut self.counts);
-        self.since = Some(now);
+        (self.since, self.believed) = (Some(now), false);
         counts.troubled().then_some((counts, now.since(since)))
     }
 }
@@ -86,5 +97,10 @@
         assert_eq!((counts.pushed_back_unsent, counts.pushed_back_sent, counts.sends), (40, 1, 0));
         assert_eq!(span, Span::from_millis(1_100));
         assert_eq!(tally.over(at(3_200)), None, "what was told is not told again");
+        assert!(tally.tell_belief());
+        tally.belief_told();
+        assert!(!tally.tell_belief(), "one belief a second");
+        tally.over(at(4_300));
+        assert!(tally.tell_belief());
     }
 }
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -345,6 +345,25 @@
     Failed,
 }
 
+/// What the gate believed when it pushed a fresh multiget back, for a trace; it decides nothing. Times in seconds.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Belief {
+    /// How much an idle replica's expected time counts, from 0 (not at all) to 1.
+    pub pass: f64,
+    /// The time that the multiget may plan to use.
+    pub left: f64,
+    /// The share of first tries not answered in time, which shortens later tries' budgets.
+    pub unserved: f64,
+    /// The middle latency of the fleet as this mixer holds it.
+    pub peers: f64,
+    /// By part: the replica that would be picked, what it is expected to take there, whether nothing of ours is
+    /// out there, how long ago it was heard from, and its share of good sends; `None` where none may be asked.
+    pub picks: Vec<Option<Believed>>,
+}
+
+/// A replica as the gate saw it: (searcher, expected, idle, heard ago, good), as in [`Belief::picks`].
+pub type Believed = (SearcherId, f64, bool, f64, f64);
+
 /// What to do about one multiget now.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Advice {
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -674,6 +674,19 @@
         in_time < self.op(mg).least_share.min(self.op(mg).need)
     }
 
+    /// What `hopeless` saw of this multiget, for a trace; on a copy of the random numbers: nothing changes.
+    pub fn believed(&self, now: Time, mg: &Multiget) -> Belief {
+        let (budget, rng) = (self.op(mg).latency_budget, &mut self.rng.clone());
+        let seen = |(id, expected): (SearcherId, f64)| {
+            let s = &self.sender.searchers[&id];
+            (id, expected, s.out.is_empty(), now.since(s.heard).as_secs(), s.learned(now, expected).1)
+        };
+        let picks = mg.step().map(|(_, p)| self.sender.pick(now, p, budget, rng).ok().map(seen)).collect();
+        let (pass, unserved) = ((self.gate.missed.value(now) * 3.0).min(1.0), self.gate.unserved.value(now));
+        let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
+        Belief { pass, left, unserved, peers: self.sender.peers(budget), picks }
+    }
+
     /// How late a part of usual weight is when it is worth another send. A copy of a merely late one costs
     /// more than it brings, so far out, less so if its searcher has been silent since.
     fn patience(&self, peers: f64, last: Option<&Send>) -> f64 {
