--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -465,7 +465,7 @@
         let in_time = matches!(answer, Reply::Answered { .. }) && now <= self.budget_end(mg);
         let first = self.like_first(mg);
         let Gate { missed, unserved, .. } = &mut self.gate;
-        let noted = [(!fresh).then_some(missed), (first && !fresh).then_some(unserved)];
+        let noted = [(!fresh).then_some(missed), first.then_some(unserved)];
         noted.into_iter().flatten().for_each(|share| share.note(now, !in_time));
         Advice { reply, ..Advice::default() }
     }
