--- a/crates/lockusher-lab/src/stand_in/mod.rs
+++ b/crates/lockusher-lab/src/stand_in/mod.rs
@@ -6,6 +6,7 @@
 mod discovery;
 pub mod http2;
 mod searcher;
+pub mod system;
 mod world;
 
 use std::time::Duration;
