Refactor: the gate's pass and time left are worked out in one place

Need: Policy::believed wrote again the two lines of hopeless() that give the pass for idle replicas and the time a multiget may use; a trace that reckons otherwise than the gate would mislead.

Change: Policy::allowance gives both; hopeless() and believed() call it. No decision moves.

--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -662,9 +662,7 @@
     fn hopeless(&mut self, now: Time, mg: &Multiget) -> bool {
         // The slowest of four takes half as much again as one; it grows with the logarithm of their number.
         let slowest = 1.0 + 0.36 * (mg.step().count().max(1) as f64).ln();
-        // With a third of those let in missing their budget, an idle replica counts like any other.
-        let pass = (self.gate.missed.value(now) * 3.0).min(1.0);
-        let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
+        let (pass, left) = self.allowance(now, mg);
         let (budget, mut in_time) = (self.op(mg).latency_budget, 1e-6);
         for (_, p) in mg.step() {
             let picked = self.sender.pick(now, p, budget, &mut self.rng);
@@ -687,11 +685,17 @@
             (id, expected, s.out.is_empty(), now.since(s.heard).as_secs(), s.learned(now, expected).1)
         };
         let picks = mg.step().map(|(_, p)| self.sender.pick(now, p, budget, rng).ok().map(seen)).collect();
-        let (pass, unserved) = ((self.gate.missed.value(now) * 3.0).min(1.0), self.gate.unserved.value(now));
-        let left = self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg));
+        let ((pass, left), unserved) = (self.allowance(now, mg), self.gate.unserved.value(now));
         Belief { pass, left, unserved, peers: self.sender.peers(budget), picks }
     }
 
+    /// How much an idle replica counts in the gate, and the seconds that this multiget may plan to use.
+    fn allowance(&self, now: Time, mg: &Multiget) -> (f64, f64) {
+        // With a third of those let in missing their budget, an idle replica counts like any other.
+        let pass = (self.gate.missed.value(now) * 3.0).min(1.0);
+        (pass, self.budget_end(mg).since(now).as_secs() * self.gate.room(self.worth(mg)))
+    }
+
     /// How late a part of usual weight is when it is worth another send. A copy of a merely late one costs
     /// more than it brings, so far out, less so if its searcher has been silent since.
     fn patience(&self, peers: f64, last: Option<&Send>) -> f64 {
