A searcher's greeting on a new connection is no answer to a probe

Cause: the story a_late_answer_casts_doubt_on_its_connection::case_2 failed now and then. Seen: the part on the doubted connection was taken as lost before its searcher's answer to the probe came. Ruled out: a lost probe answer (the stand-in sends one each time). At fault: hears() in transport/searchers.rs took any frame on the connection opened in its stead as an answer, also the probes that a searcher sends of its own accord as soon as a connection is up; those tell nothing of how long the older one is silent. Change: only what answers (a part's end, a probe's answer) counts as one; the stand-in can hold its answers to probes, so that the story fixes the order in which they come, and both cases now fail without the change.

--- a/crates/lockusher-lab/src/stand_in/searcher.rs
+++ b/crates/lockusher-lab/src/stand_in/searcher.rs
@@ -56,6 +56,8 @@
     changed: Condvar,
     stuck: Mutex<bool>,
     resumed: Condvar,
+    /// While probes are held: the connections on which an answer is owed, by the order in which they came up.
+    owed: Mutex<Option<Vec<(usize, TcpStream)>>>,
 }
 
 #[derive(Default, Clone)]
@@ -103,6 +105,7 @@
             log: Mutex::default(),
             stuck: Mutex::new(false),
             resumed: Condvar::new(),
+            owed: Mutex::new(None),
             changed: Condvar::new(),
         })
     }
@@ -119,8 +122,9 @@
             for stream in listener.incoming().flatten() {
                 let this = self.clone();
                 this.note(|log| log.opened += 1);
+                let number = this.log().opened;
                 thread::spawn(move || {
-                    this.serve(stream);
+                    this.serve(number, stream);
                     this.note(|log| log.closed += 1);
                 });
             }
@@ -152,6 +156,22 @@
         self.resumed.notify_all();
     }
 
+    /// From here on probes of health are answered when they are told to be.
+    pub fn holds_probes(&self) {
+        *self.owed.lock().unwrap() = Some(Vec::new());
+    }
+
+    /// Answers what is owed on one connection, counted from 1; tells whether anything was.
+    pub fn answers_probes(&self, connection: usize) -> bool {
+        let mut owed = self.owed.lock().unwrap();
+        let owed = owed.as_mut().expect("probes are held");
+        let (due, kept) = std::mem::take(owed).into_iter().partition(|(number, _)| *number == connection);
+        *owed = kept;
+        let due: Vec<(usize, TcpStream)> = due;
+        due.iter().for_each(|(_, stream)| drop((&mut &*stream).write_all(&frame(b'o', b"good"))));
+        !due.is_empty()
+    }
+
     fn note(&self, what: impl FnOnce(&mut Log)) {
         what(&mut self.log.lock().unwrap());
         self.changed.notify_all();
@@ -169,7 +189,7 @@
         log.clone()
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, number: usize, mut stream: TcpStream) {
         // Each answer is a write of its own: none waits for the one before to be acknowledged.
         let _ = stream.set_nodelay(true);
         // A probe at once: a searcher may ask as well.
@@ -196,8 +216,11 @@
                 }
                 b'n' => self.note(|log| log.given_up.push(String::from_utf8_lossy(&rest).into_owned())),
                 b'o' if rest.is_empty() => {
-                    if !mute {
-                        let _ = stream.write_all(&frame(b'o', b"good"));
+                    let mut owed = self.owed.lock().unwrap();
+                    match (owed.as_mut(), mute) {
+                        (_, true) => {}
+                        (Some(owed), _) => owed.extend(stream.try_clone().map(|stream| (number, stream))),
+                        (None, _) => drop(stream.write_all(&frame(b'o', b"good"))),
                     }
                 }
                 _ => self.note(|log| {
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -298,11 +298,15 @@
         self.wake.notify_one();
     }
 
-    /// A frame has come.
-    fn hears(&self) {
+    /// A frame has come; `answers` if the searcher answered by it. What it says of its own accord at once, on a
+    /// connection that has just come up, tells nothing of how long an older one has been silent.
+    fn hears(&self, answers: bool) {
         self.heard.set(Instant::now());
         self.met.set(true);
         self.doubted.set(false);
+        if !answers {
+            return;
+        }
         if let Some(silent) = self.instead_of.take().filter(|doubted| doubted.doubted.get()) {
             silent.spoilt.set(Some(Outcome::Lost));
             silent.state.set(State::Retired);
@@ -481,8 +485,9 @@
         loop {
             while let Some(frame) = frame::next(&mut buffer).map_err(|why| self.spoil(why))? {
                 began = None;
-                self.hears();
-                match frame::decode(&frame) {
+                let read = frame::decode(&frame);
+                self.hears(!matches!(read, Some(FromSearcher::Probe(_))));
+                match read {
                     Some(FromSearcher::Ended(ended)) => {
                         if !self.ended(ended, queue).await? {
                             return Ok(());
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -196,7 +196,8 @@
 
 /// What is late on a connection that says nothing more is lost with it, once its searcher answers elsewhere; where
 /// the connection answers too, the searcher is merely slow. Parts on one that had fallen silent were once waited for
-/// until their client's time was up, and more were sent after them.
+/// until their client's time was up, and more were sent after them. What a searcher says of its own accord on the new
+/// connection is no answer: a slow searcher's part was once taken for lost by its greeting.
 #[rstest]
 #[case::the_connection_fell_silent(Act::Mute, true)]
 #[case::the_searcher_is_slow(Act::Silent, false)]
@@ -210,7 +211,16 @@
         while searcher.log().parts.len() < 2 {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
+        searcher.holds_probes();
         searchers.doubt(&to, &PartId::new("q.1"), 0);
+        // The mixer has answered both probes of the new connection's greeting, so it has read that.
+        while searcher.log().probes.len() < 4 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(arrivals.try_recv().is_err(), "a greeting tells nothing of the older connection");
+        while !searcher.answers_probes(if lost { 2 } else { 1 }) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
         if lost {
             assert!(matches!(arrivals.recv().await, Some(Arrival::Ended(e)) if e.outcome == Outcome::Lost));
         }
