A view of the fleet kept by the mixers: core, driver, setting, GET /fleet, virtual time

Change: crates/lockusher-fleet: a core without I/O or clock (probes in shuffled rounds, tries by way of others, suspicions that can be refuted, patience that grows with the mixer's own slowness, news with a bounded number of tellings, exchange of views by sums of buckets and pages, calls on the dead and on seeds; two of one name told apart) and a driver over one UDP socket in the mixer's thread. fleet { } in the operator's file, checked by lockusher check; off without it, not named in run. News::Mixers carries the count to the decisions that used the settings' number; the dead count as long as they are remembered, and the count does not fall while a mixer sees no more than half. lockusher-lab fleet-sim plays the core in virtual time.

--- /dev/null
+++ b/crates/lockusher-fleet/src/io.rs
@@ -0,0 +1,124 @@
+//! What carries the core's datagrams: one UDP socket, IPv4, on the mixer's own thread. Nothing here decides.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use lockusher::interface::Time;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::core::table::{Held, State};
+use crate::core::{Change, Core, Counts, Standing};
+
+/// Datagrams that are read in one turn, and how long the next turn waits after a full one: a flood takes at most
+/// 6,400 short looks a second and a client's time never; the rest is dropped by the system. An exchange of views at
+/// 3,000 members is 32 at once.
+const A_TURN: usize = 64;
+const REST: Duration = Duration::from_millis(10);
+
+/// How the fleet stands for this mixer.
+pub struct Shown {
+    pub now: Time,
+    pub standing: Standing,
+    pub members: Vec<Held>,
+    pub living: usize,
+    pub counted: usize,
+    pub digest: u64,
+    pub counts: Counts,
+}
+
+/// What is asked of the driver.
+pub enum Ask {
+    /// How the fleet stands.
+    Show(oneshot::Sender<Shown>),
+    /// This mixer leaves: others are told; what comes is answered on.
+    Leave,
+}
+
+/// The way to ask.
+pub type Asks = mpsc::Sender<Ask>;
+
+/// Binds the socket. Errors: an address that is not ours, or in use.
+pub async fn bind(address: SocketAddrV4) -> std::io::Result<UdpSocket> {
+    UdpSocket::bind(address).await
+}
+
+/// Keeps the view for good; the count of mixers goes to `counted` whenever it changes. Ends when nobody can ask.
+pub async fn keep(
+    socket: UdpSocket,
+    mut core: Core,
+    clock: impl Fn() -> Time,
+    counted: watch::Sender<usize>,
+    mut asks: mpsc::Receiver<Ask>,
+) {
+    let mut buffer = [0; 2 * crate::core::wire::MOST_BYTES];
+    let mut rest: Option<tokio::time::Instant> = None;
+    loop {
+        carry(&socket, &mut core).await;
+        for change in core.take_changes() {
+            tell(&change);
+        }
+        counted.send_if_modified(|held| std::mem::replace(held, core.counted()) != core.counted());
+        let wait = Duration::from_micros(core.next().since(clock()).as_micros());
+        tokio::select! {
+            biased;
+            asked = asks.recv() => match asked {
+                Some(Ask::Show(reply)) => drop(reply.send(shown(clock(), &core))),
+                Some(Ask::Leave) => core.leave(clock()),
+                None => return,
+            },
+            () = tokio::time::sleep(wait) => core.due(clock()),
+            () = tokio::time::sleep_until(rest.unwrap_or_else(tokio::time::Instant::now)), if rest.is_some() => {
+                rest = None;
+            }
+            ready = socket.readable(), if rest.is_none() => {
+                let (mut read, mut dry) = (0, false);
+                while ready.is_ok() && read < A_TURN && !dry {
+                    read += 1;
+                    match socket.try_recv_from(&mut buffer) {
+                        Ok((length, SocketAddr::V4(from))) => core.hear(clock(), from, &buffer[..length]),
+                        Ok(_) => {}
+                        Err(error) => dry = error.kind() == std::io::ErrorKind::WouldBlock,
+                    }
+                }
+                rest = (!dry).then(|| tokio::time::Instant::now() + REST);
+            }
+        }
+    }
+}
+
+async fn carry(socket: &UdpSocket, core: &mut Core) {
+    for (at, bytes) in core.take_out() {
+        // A datagram that can't leave now is lost, as one on the way may be.
+        let _ = socket.try_send_to(&bytes, at.into());
+    }
+}
+
+fn shown(now: Time, core: &Core) -> Shown {
+    Shown {
+        now,
+        standing: core.standing(),
+        members: core.view().cloned().collect(),
+        living: core.living(),
+        counted: core.counted(),
+        digest: core.digest(),
+        counts: core.counts(),
+    }
+}
+
+/// One line for each change; a suspicion that may pass is for those who look closely.
+fn tell(change: &Change) {
+    let Change { member, from } = change;
+    let (name, at, state) = (member.name.as_str(), member.address, member.state.word());
+    let by = member.by.as_ref().map(|by| format!(", says {}", by.as_str())).unwrap_or_default();
+    let was = from.map_or("unknown", State::word);
+    match (member.state, from) {
+        (State::Suspect, _) | (State::Alive, Some(State::Suspect)) => {
+            tracing::debug!(target: "lockusher::fleet", "fleet: {name} at {at} is {state}{by} (was {was})");
+        }
+        (State::Dead, _) => {
+            tracing::warn!(target: "lockusher::fleet", "fleet: {name} at {at} is {state}{by} (was {was})");
+        }
+        _ => tracing::info!(target: "lockusher::fleet", "fleet: {name} at {at} is {state}{by} (was {was})"),
+    }
+}
--- /dev/null
+++ b/crates/lockusher-fleet/src/lib.rs
@@ -0,0 +1,11 @@
+//! The view of the fleet that mixers keep among themselves. `core` decides, without I/O, clock or hidden randomness:
+//! the same inputs make the same bytes. `io` carries it over one UDP socket in the mixer's own thread. The published
+//! roots (SWIM, Lifeguard) and what was changed are in `docs/fleet.md`.
+
+pub mod core;
+pub mod io;
+
+#[allow(missing_docs, clippy::all)]
+pub(crate) mod proto {
+    include!(concat!(env!("OUT_DIR"), "/lockusher.fleet.rs"));
+}
--- a/crates/lockusher-lab/src/lib.rs
+++ b/crates/lockusher-lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod http2;
 pub mod large;
+pub mod mixers;
 pub mod registry;
 pub mod soak;
 pub mod stand_in;
--- a/crates/lockusher-lab/src/main.rs
+++ b/crates/lockusher-lab/src/main.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use lockusher_lab::{demo, http2, large, soak, standstill};
+use lockusher::interface::Span;
+use lockusher_lab::{demo, http2, large, mixers, soak, standstill};
 use lockusher_registry::core::follow::Protocol;
 
 #[derive(Parser)]
@@ -88,6 +89,19 @@
         #[arg(long, default_value_t = 256)]
         sockets: usize,
     },
+    /// The fleet's view in virtual time: joins, crashes, cuts and loss, at sizes that processes do not reach.
+    FleetSim {
+        #[arg(long, default_value_t = 300)]
+        members: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Of virtual time, after all have joined.
+        #[arg(long, default_value_t = 90)]
+        seconds: u64,
+        /// Say what happens.
+        #[arg(long)]
+        verbose: bool,
+    },
     /// The mixer itself, as the stories start it.
     #[command(hide = true, disable_help_flag = true)]
     Mixer {
@@ -138,6 +152,9 @@
         Command::Carriers { width, seconds, restarts, calls, sockets } => {
             http2::carriers(width, Duration::from_secs(seconds), restarts, calls, sockets)
         }
+        Command::FleetSim { members, seed, seconds, verbose } => {
+            mixers::simulate::run(members, seed, Span::from_millis(seconds * 1_000), verbose)
+        }
         Command::Large { protocol, entries, changes, seconds } => {
             large::run(protocol.into(), entries, changes, Duration::from_secs(seconds))
         }
--- a/crates/lockusher-mixer/src/operator.rs
+++ b/crates/lockusher-mixer/src/operator.rs
@@ -2,10 +2,12 @@
 //! file, the line and the faulty key.
 
 use std::fmt;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::LazyLock;
 
 use lockusher::interface::Span;
+use lockusher_fleet::core::wire::MOST_NAME;
 use lockusher_registry::core::follow::{Plan, Protocol};
 use miette::Diagnostic;
 use prost_reflect::{DescriptorPool, DynamicMessage, MessageDescriptor};
@@ -22,6 +24,8 @@
     pub registry: Option<Plan>,
     /// Which hosts are spoken to by HTTP/2, and how.
     pub http2: Option<Http2>,
+    /// The view of the fleet that is kept with other mixers.
+    pub fleet: Option<Fleet>,
     pub json_logs: bool,
     pub level: Level,
 }
@@ -41,6 +45,19 @@
     pub resets_per_s: f64,
 }
 
+/// How this mixer keeps a view of its fleet with others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    pub id: String,
+    pub address: SocketAddrV4,
+    pub advertise: SocketAddrV4,
+    pub seeds: Vec<SocketAddrV4>,
+    pub zone: String,
+    pub probe_every: Span,
+    pub suspect_for: Span,
+    pub remember: Span,
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Level {
     Debug,
@@ -106,7 +123,8 @@
     };
     let registry = settings.registry.map(|registry| plan(text, registry)).transpose()?;
     let http2 = settings.http2.map(|read| http2(text, read)).transpose()?;
-    Ok(Operator { registry, http2, json_logs: log.form() == text::log::Form::Json, level })
+    let fleet = settings.fleet.map(|read| fleet(text, read)).transpose()?;
+    Ok(Operator { registry, http2, fleet, json_logs: log.form() == text::log::Form::Json, level })
 }
 
 fn plan(text: &str, registry: text::Registry) -> Result<Plan, Faulty> {
@@ -190,6 +208,67 @@
     })
 }
 
+fn fleet(text: &str, read: text::Fleet) -> Result<Fleet, Faulty> {
+    let faulty = |key: &str, nth: usize, why: String| {
+        let line = place(text, &["fleet", key], nth).or_else(|| place(text, &["fleet"], 0));
+        Faulty { line: line.unwrap_or(0), why: format!("fleet.{key}: {why}") }
+    };
+    let within = |key: &str, value: Option<u32>, default: u32, least: u32, most: u32| match value {
+        Some(value) if value < least || value > most => {
+            Err(faulty(key, 0, format!("{value} is not between {least} and {most}")))
+        }
+        value => Ok(u64::from(value.unwrap_or(default))),
+    };
+    let address = |key: &str, nth: usize, value: &str| {
+        let address = value.parse().ok().filter(|at: &SocketAddrV4| at.port() > 0);
+        let address = address.filter(|at| !at.ip().is_unspecified() && !at.ip().is_multicast());
+        address.ok_or_else(|| {
+            faulty(key, nth, format!("\"{value}\" is not an IPv4 ADDRESS:PORT that can be reached"))
+        })
+    };
+    for (key, word) in [("id", &read.id), ("zone", &read.zone)] {
+        if word.len() > MOST_NAME {
+            return Err(faulty(key, 0, format!("longer than {MOST_NAME} bytes")));
+        }
+    }
+    if read.id.is_empty() {
+        return Err(faulty("id", 0, "missing: two fleets would merge".to_owned()));
+    }
+    if read.address.is_empty() {
+        return Err(faulty("address", 0, "missing: ADDRESS:PORT to listen at".to_owned()));
+    }
+    let own = address("address", 0, &read.address)?;
+    let advertise = match read.advertise.as_str() {
+        "" => own,
+        other => address("advertise", 0, other)?,
+    };
+    let mut seeds = Vec::new();
+    for (nth, seed) in read.seeds.iter().enumerate() {
+        let at = address("seeds", nth, seed)?;
+        if seeds.contains(&at) {
+            return Err(faulty("seeds", nth, format!("\"{seed}\" is named twice")));
+        }
+        seeds.push(at);
+    }
+    let probe_every = within("probe_every_ms", read.probe_every_ms, 200, 50, 10_000)?;
+    let suspect_for = within("suspect_for_ms", read.suspect_for_ms, 800, 100, 60_000)?;
+    if suspect_for < 2 * probe_every {
+        let why =
+            format!("{suspect_for} leaves no time to refute: at least twice probe_every_ms ({probe_every})");
+        return Err(faulty("suspect_for_ms", 0, why));
+    }
+    Ok(Fleet {
+        address: own,
+        advertise,
+        seeds,
+        probe_every: Span::from_millis(probe_every),
+        suspect_for: Span::from_millis(suspect_for),
+        remember: Span::from_millis(within("remember_s", read.remember_s, 600, 5, 86_400)? * 1_000),
+        id: read.id,
+        zone: read.zone,
+    })
+}
+
 fn line_at(text: &str, offset: usize) -> usize {
     let before = &text.as_bytes()[..offset.min(text.len())];
     before.iter().filter(|byte| **byte == b'\n').count() + 1
--- a/crates/lockusher-mixer/src/program/serve.rs
+++ b/crates/lockusher-mixer/src/program/serve.rs
@@ -8,7 +8,8 @@
 use super::configuration;
 use super::signals::{Signals, Told};
 use crate::clock::{Clock, duration};
-use crate::operator::{self, Operator};
+use crate::config::Config;
+use crate::operator::{self, Fleet, Operator};
 use crate::routing::carrier::Carrier;
 use crate::routing::{Arrival, Inlets, Router};
 use crate::transport::carriers::Carriers;
@@ -16,6 +17,11 @@
 use crate::transport::discovery;
 use crate::transport::searchers::Searchers;
 use anyhow::{Context, Result};
+use lockusher::interface::Time;
+use lockusher_fleet::core::table::MixerName;
+use lockusher_fleet::core::wire::MOST_NAME;
+use lockusher_fleet::core::{Core, Plan};
+use lockusher_fleet::io::{self, Ask, Asks};
 use lockusher_registry::io::follow;
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -29,6 +35,39 @@
 const CLOSE: Duration = Duration::from_millis(1_200);
 const GIVE_UP: Duration = Duration::from_millis(400);
 
+/// Keeps a view of the fleet from here on; what it counts goes to the router.
+async fn fleet(set: &Fleet, config: &Config, clock: Clock, queue: mpsc::Sender<Arrival>) -> Result<Asks> {
+    anyhow::ensure!(
+        config.name.len() <= MOST_NAME,
+        "name: longer than {MOST_NAME} bytes, which a fleet can't tell"
+    );
+    let socket = io::bind(set.address).await.with_context(|| format!("fleet.address: {}", set.address))?;
+    let plan = Plan {
+        fleet: set.id.clone(),
+        name: MixerName::new(&config.name),
+        address: set.advertise,
+        zone: set.zone.as_str().into(),
+        seeds: set.seeds.clone(),
+        probe_every: set.probe_every,
+        suspect_for: set.suspect_for,
+        remember: set.remember,
+    };
+    let (now, mixers) = (clock.now(), config.settings.balancers);
+    let core = Core::new(now, now.since(Time::from_micros(0)).as_micros(), plan, mixers, config.seed);
+    // Few ask, and each is answered at once.
+    let ((ask, asked), (counts, mut counted)) = (mpsc::channel(4), watch::channel(mixers));
+    actix_rt::spawn(io::keep(socket, core, move || clock.now(), counts, asked));
+    actix_rt::spawn(async move {
+        while counted.changed().await.is_ok() {
+            let mixers = *counted.borrow_and_update();
+            if queue.send(Arrival::Mixers(mixers)).await.is_err() {
+                return;
+            }
+        }
+    });
+    Ok(ask)
+}
+
 pub async fn serve(settings: Option<PathBuf>, operator: Operator) -> Result<()> {
     let mut config = configuration()?;
     let held = operator.clone();
@@ -85,6 +124,10 @@
             actix_rt::spawn(watching);
         }
     }
+    let fleet = match &operator.fleet {
+        Some(set) => Some(fleet(set, &config, clock, queue.clone()).await?),
+        None => None,
+    };
     let mut routing = actix_rt::spawn(router.run());
     let desk = Rc::new(Desk {
         names,
@@ -95,6 +138,7 @@
         stopping,
         bodies: Cell::new(0),
         registry: asks,
+        fleet: fleet.clone(),
     });
     let closed = Rc::new(Notify::new());
     let mut serving = actix_rt::spawn(clients::serve(listener, desk, closed.clone()));
@@ -132,6 +176,9 @@
                     if operator.http2 != held.http2 {
                         tracing::warn!("http2: another value needs a restart; the old one stays in force");
                     }
+                    if operator.fleet != held.fleet {
+                        tracing::warn!("fleet: another value needs a restart; the old one stays in force");
+                    }
                     for key in config.needs_restart(&new) {
                         tracing::warn!("{key}: another value needs a restart; the old one stays in force");
                     }
@@ -151,6 +198,9 @@
     }
     tracing::info!("{} stops: {} multigets in hand", config.name, open.get());
     stop.send_replace(Stopping::Asked);
+    if let Some(fleet) = &fleet {
+        let _ = fleet.send(Ask::Leave).await;
+    }
     let killed = duration(sockets.longest).min(LONGEST_COUNTED) + KILLED_AFTER;
     tokio::time::sleep(killed.saturating_sub(CLOSE)).await;
     stop.send_replace(Stopping::Closing);
--- a/crates/lockusher-mixer/src/protocol/client.rs
+++ b/crates/lockusher-mixer/src/protocol/client.rs
@@ -13,6 +13,7 @@
 /// The path that tells whether the mixer can serve.
 pub const UP: &str = "/up";
 /// Where it says how the registry stands, if one is followed.
+pub const FLEET: &str = "/fleet";
 pub const REGISTRY: &str = "/registry";
 /// The same with the view that is held.
 pub const REGISTRY_VIEW: &str = "/registry/view";
--- /dev/null
+++ b/crates/lockusher-mixer/src/protocol/fleet.rs
@@ -0,0 +1,61 @@
+//! How the fleet stands for this mixer, as JSON for staff and tools.
+
+use lockusher_fleet::core::Standing;
+use lockusher_fleet::io::Shown;
+use serde_json::{Value, json};
+
+pub fn encode(shown: &Shown) -> String {
+    let Shown { now, standing, members, living, counted, digest, counts } = shown;
+    let (standing, taken_by) = match standing {
+        Standing::Joining => ("joining", None),
+        Standing::Member => ("member", None),
+        Standing::Outside(at) => ("outside", Some(at.to_string())),
+        Standing::Leaving => ("leaving", None),
+    };
+    let members: Vec<Value> = members
+        .iter()
+        .map(|held| {
+            let record = &held.record;
+            json!({
+                "name": record.name.as_str(),
+                "address": record.address.to_string(),
+                "zone": &*record.zone,
+                "generation": record.generation,
+                "incarnation": record.incarnation,
+                "state": record.state.word(),
+                "since_ms": now.since(held.since).as_micros() / 1_000,
+                "by": record.by.as_ref().map(|by| by.as_str()),
+            })
+        })
+        .collect();
+    let drops = &counts.drops;
+    json!({
+        "standing": standing,
+        "name_taken_by": taken_by,
+        "living": living,
+        "counted": counted,
+        "digest": format!("{digest:016x}"),
+        "members": members,
+        "counts": {
+            "datagrams_in": counts.datagrams_in,
+            "bytes_in": counts.bytes_in,
+            "datagrams_out": counts.datagrams_out,
+            "bytes_out": counts.bytes_out,
+            "unreached": counts.unreached,
+            "suspected": counts.suspected,
+            "refuted": counts.refuted,
+            "exchanges": counts.exchanges,
+            "stood_still": counts.stood_still,
+            "dropped": {
+                "damaged": drops.damaged,
+                "other_form": drops.other_form,
+                "other_fleet": drops.other_fleet,
+                "absurd": drops.absurd,
+                "misdirected": drops.misdirected,
+                "far_off": drops.far_off,
+                "beyond_share": drops.beyond_share,
+            },
+        },
+    })
+    .to_string()
+}
--- a/crates/lockusher-mixer/src/protocol/mod.rs
+++ b/crates/lockusher-mixer/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod discovery;
+pub mod fleet;
 pub mod frame;
 pub mod registry;
 
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -29,6 +29,8 @@
     Ended(SendEnded),
     /// Discovery told something, or refused.
     Told(Option<List>),
+    /// The fleet's view tells how many mixers there may be.
+    Mixers(usize),
     /// The process ends: what is in hand is given up.
     Stop,
 }
@@ -159,6 +161,7 @@
                 self.stopped = true;
                 self.host.stop(now);
             }
+            Arrival::Mixers(mixers) => self.host.news(now, News::Mixers(mixers)),
             Arrival::Told(None) => self.host.news(now, News::Refused),
         }
     }
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -16,6 +16,7 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use lockusher::interface::MultigetId;
+use lockusher_fleet::io as fleet;
 use lockusher_host::settings::Names;
 use lockusher_registry::io::{Ask, Asks};
 use tokio::net::TcpListener;
@@ -61,6 +62,8 @@
     pub bodies: Cell<usize>,
     /// The way to ask how the registry stands, if one is followed.
     pub registry: Option<Asks>,
+    /// The way to ask how the fleet stands, if a view of it is kept.
+    pub fleet: Option<fleet::Asks>,
 }
 
 impl Desk {
@@ -160,6 +163,7 @@
         path @ (client::REGISTRY | client::REGISTRY_VIEW) if let Some(asks) = &desk.registry => {
             registry(asks, path == client::REGISTRY_VIEW, &desk.names).await
         }
+        client::FLEET if let Some(asks) = &desk.fleet => fleet(asks).await,
         _ => match multiget(&mut request, desk, &usage).await {
             Ok(response) => response,
             Err(unusable) => {
@@ -193,6 +197,19 @@
     }
 }
 
+async fn fleet(asks: &fleet::Asks) -> Response<BoxBody> {
+    let (reply, shown) = oneshot::channel();
+    let asked = asks.send(fleet::Ask::Show(reply)).await;
+    match shown.await {
+        Ok(shown) if asked.is_ok() => {
+            let mut response = Response::build(StatusCode::OK);
+            let body = crate::protocol::fleet::encode(&shown);
+            response.insert_header((CONTENT_TYPE, "application/json")).body(body).map_into_boxed_body()
+        }
+        _ => plain(503, "no view of the fleet is kept"),
+    }
+}
+
 fn plain(status: u16, words: &str) -> Response<BoxBody> {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     Response::build(status)
--- a/crates/lockusher-mixer/tests/settings.rs
+++ b/crates/lockusher-mixer/tests/settings.rs
@@ -16,6 +16,8 @@
     assert_eq!((plan.silent_after, plan.stale), (Span::from_millis(3_000), None));
     let http2 = read.http2.expect("hosts by HTTP/2");
     assert_eq!((http2.entries, http2.fall_back, http2.most_streams), (true, true, 128));
+    let fleet = read.fleet.expect("a view of the fleet");
+    assert_eq!((fleet.advertise, fleet.seeds.len()), (fleet.address, 2));
     assert_eq!(parse("# nothing\n"), Ok(Operator::default()));
     assert_eq!(
         parse("log { level: WARN form: JSON }").map(|o| (o.json_logs, o.level)),
@@ -26,7 +28,19 @@
 #[rstest]
 #[case::no_such_key(4, "  endpints: \"a:1\"", 4, "endpints")]
 #[case::a_word_for_a_number(14, "  page: many", 14, "expected an integer")]
-#[case::not_closed(26, "", 26, "reached end of input")]
+#[case::not_closed(35, "", 35, "reached end of input")]
+#[case::no_fleet_id(30, "", 29, "fleet.id: missing")]
+#[case::no_fleet_address(31, "", 29, "fleet.address: missing")]
+#[case::a_name_for_an_address(
+    31,
+    "  address: \"here:7946\"",
+    31,
+    "fleet.address: \"here:7946\" is not an IPv4"
+)]
+#[case::nowhere(31, "  address: \"0.0.0.0:7946\"", 31, "that can be reached")]
+#[case::a_seed_twice(33, "  seeds: \"127.0.0.1:7946\"", 33, "fleet.seeds: \"127.0.0.1:7946\" is named twice")]
+#[case::no_time_to_refute(34, "  suspect_for_ms: 300", 34, "fleet.suspect_for_ms: 300 leaves no time")]
+#[case::too_eager(34, "  probe_every_ms: 5", 34, "fleet.probe_every_ms: 5 is not between 50 and")]
 #[case::no_such_protocol(6, "  protocol: ZOOKEEPER", 6, "ZOOKEEPER")]
 #[case::no_protocol(6, "", 5, "registry.protocol: missing")]
 #[case::not_host_and_port(
--- a/crates/lockusher/src/interface.rs
+++ b/crates/lockusher/src/interface.rs
@@ -235,6 +235,8 @@
     Remembered(Vec<Listed>),
     /// A call failed or the subscription broke.
     Refused,
+    /// The mixers whose shares may be in use, where the fleet keeps a view of itself; else the settings' number.
+    Mixers(usize),
 }
 
 /// How a send ended.
--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -436,6 +436,7 @@
             News::Changes(list) => self.sender.news(now, list, false),
             News::All(list) | News::Remembered(list) => self.sender.news(now, list, true),
             News::Refused => return self.asking.refused(now, &mut self.rng),
+            News::Mixers(mixers) => return self.sender.mixers = mixers.max(1),
         }
         self.asking.failures = 0;
     }
