--- a/crates/lockusher-lab/src/mixers/ground.rs
+++ b/crates/lockusher-lab/src/mixers/ground.rs
@@ -16,7 +16,7 @@
 use super::clients::{Clients, Load};
 use super::switch::Switch;
 use super::worker::Worker;
-use crate::stand_in::{Discovery, Mixer, Setup, settings};
+use crate::stand_in::{Client, Discovery, Mixer, Setup, settings};
 
 /// What is started.
 #[derive(Clone, Debug)]
@@ -45,6 +45,7 @@
 }
 
 struct Slot {
+    listens: SocketAddrV4,
     name: String,
     mixer: Option<Mixer>,
     stopped: bool,
@@ -122,7 +123,15 @@
             std::fs::write(&settings, text)?;
             let discovery = Discovery::start(lines(&workers, &relays, cells));
             let name = name(mixer);
-            slots.push(Slot { name, mixer: None, stopped: false, discovery, relays, settings });
+            slots.push(Slot {
+                listens: listen[mixer],
+                name,
+                mixer: None,
+                stopped: false,
+                discovery,
+                relays,
+                settings,
+            });
         }
         let troubled = vec![Instant::now(); plan.mixers];
         Ok(Ground { switch, workers, clients, slots, setup, index: 1, plan, troubled, runtime })
@@ -282,6 +291,16 @@
         running.filter_map(|(nth, slot)| Some((nth, slot.mixer.as_ref()?.cpu_us()))).collect()
     }
 
+    /// Where a mixer listens for datagrams in truth, past the switch.
+    pub fn listens(&self, mixer: usize) -> SocketAddrV4 {
+        self.slots[mixer].listens
+    }
+
+    /// A connection of a client's own.
+    pub fn client(&self, mixer: usize) -> Client {
+        self.slots[mixer].mixer.as_ref().expect("it runs").client()
+    }
+
     /// What one says now.
     pub fn says(&self, mixer: usize) -> Result<View> {
         self.views().swap_remove(mixer).with_context(|| format!("{} does not answer", name(mixer)))
--- a/crates/lockusher-lab/tests/fleet_processes.rs
+++ b/crates/lockusher-lab/tests/fleet_processes.rs
@@ -216,3 +216,35 @@
     ground.switch.everywhere(Way::default());
     settles(&ground);
 }
+
+/// A flood of datagrams takes a share of a mixer's turns: clients are served meanwhile, and others still see it live.
+#[rstest]
+fn a_flood_of_datagrams() {
+    let ground = settled(3);
+    let (at, over) = (ground.listens(0), std::sync::atomic::AtomicBool::new(false));
+    let cpu = ground.cpu_us()[&0];
+    let began = Instant::now();
+    std::thread::scope(|scope| {
+        let flood = scope.spawn(|| {
+            let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+            let mut sent = 0_u64;
+            while !over.load(Ordering::Relaxed) {
+                sent += u64::from(socket.send_to(&[0x0d; 1_200], at).is_ok());
+            }
+            sent
+        });
+        let mut client = ground.client(0);
+        for nth in 0..40 {
+            let answer = client.ask(&format!("q{nth}"), &[0, 3, 6]);
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        until(&ground, "it takes some of the flood in", |views| {
+            views[0].as_ref().is_some_and(|view| view.counts["dropped"]["damaged"].as_u64() > Some(2_000))
+        });
+        over.store(true, Ordering::Relaxed);
+        assert!(flood.join().expect("it floods") > 2_000);
+    });
+    let share = (ground.cpu_us()[&0] - cpu) as f64 / began.elapsed().as_micros() as f64;
+    assert!(share < 0.8, "it spends {share:.2} of its core");
+    settles(&ground);
+}
--- a/crates/lockusher-lab/tests/fleet_view.rs
+++ b/crates/lockusher-lab/tests/fleet_view.rs
@@ -121,6 +121,8 @@
     world.net.one_way.insert((5, 1));
     world.play(Span::from_millis(20_000));
     assert!(world.false_deaths.is_empty() && world.agrees(), "{:?}", world.false_deaths);
+    let suspected: Vec<u64> = (0..10).map(|mixer| world.core(mixer).counts().suspected).collect();
+    assert_eq!(suspected, [0; 10], "others reach it, so it is not even suspected");
 }
 
 #[rstest]
--- a/crates/lockusher-mixer/tests/platform.rs
+++ b/crates/lockusher-mixer/tests/platform.rs
@@ -52,6 +52,8 @@
             kinds == ["tcp"] || kinds == ["udp"],
             "socket {inode} is not TCP or UDP over IPv4: {kinds:?}"
         );
+        // Mixers talk to each other by datagrams, and without the operator's word not at all.
+        assert!(kinds != ["udp"], "socket {inode} speaks UDP though no fleet is set");
     }
     assert_eq!(children(pid), Vec::<String>::new(), "it starts no other program");
     // With nothing to do, every thread waits at once: one that spins would never let this hold.
