The view's names are hashed alike everywhere; one that refutes for ever has a test of its own

Need: 3,000 members in virtual time took ten minutes, much of it in comparing names; the test of a member that refutes for ever measured bytes that other suspicions moved as well, so its verdict hung on an order of names. Change: table and news look names up by a fixed hash (the same bytes from the same seed, as before); that test now counts how often 100 refutations in 15 s are told on (3, and 3 after ten seconds); fleet-sim draws the order of its faults from the seed; the process story of a standstill is played for 0.5, 2 and 10 s, as the issue asks.

--- a/crates/lockusher-fleet/src/core/mod.rs
+++ b/crates/lockusher-fleet/src/core/mod.rs
@@ -188,7 +188,7 @@
         }
     }
 
-    /// All that is known, in the order of names; the own entry is there once this mixer is a member.
+    /// All that is known, in no order; the own entry is there once this mixer is a member.
     pub fn view(&self) -> impl Iterator<Item = &Held> {
         self.table.iter()
     }
@@ -680,6 +680,25 @@
         assert_eq!(core.living(), 2);
     }
 
+    /// One that refutes for ever is held as it last said, and told on no more than a few times in a while.
+    #[rstest]
+    fn one_that_refutes_for_ever_does_not_fill_the_news() {
+        let (mut core, mut told) = (core(), Vec::new());
+        core.take(NOW, report(1, 5, 0, State::Alive));
+        core.news.keep(|_| false);
+        for nth in 1..=100 {
+            let now = NOW + Span::from_millis(150 * u64::from(nth));
+            core.take(now, report(1, 5, nth, State::Alive));
+            core.news.tell(2, |_| {
+                told.push(nth);
+                true
+            });
+            core.news.keep(|_| false);
+            assert_eq!(held(&core)[&MixerName::new("m1")], (5, nth, State::Alive));
+        }
+        assert_eq!(told, [1, 2, 3, 67, 68, 69], "three at once, and three when ten seconds have gone");
+    }
+
     /// What would have refuted it may wait in the socket: a suspicion that ran out meanwhile is no death yet.
     #[rstest]
     fn a_suspicion_that_ran_out_while_this_mixer_stood_still_begins_anew() {
--- a/crates/lockusher-fleet/src/core/news.rs
+++ b/crates/lockusher-fleet/src/core/news.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::table::MixerName;
+use super::table::{ByName, MixerName};
 
 /// Each item is told this many times the logarithm of the fleet's size: SWIM's own analysis asks for a small
 /// multiple, and 3 leaves a member untold with a chance below one in a thousand at 300 without loss. What is missed
@@ -16,7 +16,7 @@
 pub(super) struct News {
     /// The least told first; a new report of a member takes the place of its older one.
     queue: BTreeMap<Place, MixerName>,
-    places: BTreeMap<MixerName, Place>,
+    places: ByName<Place>,
     next: u64,
 }
 
--- a/crates/lockusher-fleet/src/core/table.rs
+++ b/crates/lockusher-fleet/src/core/table.rs
@@ -2,7 +2,8 @@
 //! gravity; the greatest one heard is held, so members that heard the same reports, in any order and any number of
 //! times, hold the same.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{BuildHasherDefault, Hasher};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -24,6 +25,27 @@
     }
 }
 
+/// Values by name. Hashed alike in every process, so that the same inputs make the same bytes; a sender of colliding
+/// names gains what it gains by sending many.
+pub type ByName<T> = HashMap<MixerName, T, BuildHasherDefault<Mixer>>;
+
+#[derive(Default)]
+pub struct Mixer(u64);
+
+impl Hasher for Mixer {
+    fn write(&mut self, bytes: &[u8]) {
+        for chunk in bytes.chunks(8) {
+            let mut word = [0; 8];
+            word[..chunk.len()].copy_from_slice(chunk);
+            self.0 = mix(self.0, u64::from_le_bytes(word));
+        }
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
 /// What is said of a member, the graver later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum State {
@@ -83,13 +105,9 @@
         if !self.state.lives() {
             return 0;
         }
-        let mut sum = mix(0, self.generation);
-        for chunk in self.name.as_str().as_bytes().chunks(8) {
-            let mut word = [0; 8];
-            word[..chunk.len()].copy_from_slice(chunk);
-            sum = mix(sum, u64::from_le_bytes(word));
-        }
-        mix(sum, u64::from(self.incarnation))
+        let mut sum = Mixer(self.generation);
+        sum.write(self.name.as_str().as_bytes());
+        mix(sum.finish(), u64::from(self.incarnation))
     }
 }
 
@@ -125,19 +143,20 @@
 /// All members that are known, the own one among them.
 #[derive(Default)]
 pub struct Table {
-    members: BTreeMap<MixerName, Held>,
+    members: ByName<Held>,
     sums: Vec<u64>,
     living: usize,
 }
 
 fn bucket(name: &MixerName) -> usize {
-    let sum = name.as_str().bytes().fold(0, |sum, byte| mix(sum, u64::from(byte)));
-    sum as usize % BUCKETS
+    let mut sum = Mixer::default();
+    sum.write(name.as_str().as_bytes());
+    sum.finish() as usize % BUCKETS
 }
 
 impl Table {
     pub fn new() -> Self {
-        Table { members: BTreeMap::new(), sums: vec![0; BUCKETS], living: 0 }
+        Table { members: ByName::default(), sums: vec![0; BUCKETS], living: 0 }
     }
 
     pub fn get(&self, name: &MixerName) -> Option<&Held> {
--- a/crates/lockusher-fleet/src/io.rs
+++ b/crates/lockusher-fleet/src/io.rs
@@ -20,6 +20,7 @@
 pub struct Shown {
     pub now: Time,
     pub standing: Standing,
+    /// In the order of their names.
     pub members: Vec<Held>,
     pub living: usize,
     pub counted: usize,
@@ -95,10 +96,12 @@
 }
 
 fn shown(now: Time, core: &Core) -> Shown {
+    let mut members: Vec<Held> = core.view().cloned().collect();
+    members.sort_by(|one, other| one.record.name.cmp(&other.record.name));
     Shown {
         now,
         standing: core.standing(),
-        members: core.view().cloned().collect(),
+        members,
         living: core.living(),
         counted: core.counted(),
         digest: core.digest(),
--- a/crates/lockusher-fleet/tests/datagrams.rs
+++ b/crates/lockusher-fleet/tests/datagrams.rs
@@ -130,42 +130,6 @@
     assert_eq!(one.standing(), Standing::Member);
 }
 
-/// A member that refutes for ever, since one that nothing reaches accuses it time and again, is told on by others no
-/// more than a few times: three mixers spend little more than they would without it.
-#[rstest]
-fn one_that_refutes_for_ever_is_told_on_no_more_than_that() {
-    let (mut one, mut other, .., mut now) = pair();
-    let mut third = core("f", "third", 3, 1);
-    let mut accuser = core("f", "accuser", 4, 2);
-    let (before, began) = (one.counts().bytes_out, now);
-    while now.since(began) < Span::from_millis(20_000) {
-        now = now + Span::from_millis(2);
-        [&mut one, &mut other, &mut third].into_iter().for_each(|core| core.due(now));
-        // The accuser's turns come so often that it takes others' answers for late.
-        accuser.due(now);
-        for from in 1..=4_u16 {
-            let out = [&mut one, &mut other, &mut third, &mut accuser][usize::from(from) - 1].take_out();
-            for (to, bytes) in out {
-                match to.port() {
-                    1 => one.hear(now, at(from), &bytes),
-                    2 => other.hear(now, at(from), &bytes),
-                    3 => third.hear(now, at(from), &bytes),
-                    // What the accuser hears are refutations, and few answers.
-                    _ if now.since(began).as_micros() % 1_000_000 < 60_000 => {
-                        accuser.hear(now, at(from), &bytes)
-                    }
-                    _ => {}
-                }
-            }
-        }
-    }
-    assert!(other.counts().refuted > 5, "{:?}", other.counts());
-    assert!((one.counts().bytes_out - before) < 70_000, "{:?}", one.counts());
-    assert!(["one", "other", "third"].iter().all(|name| {
-        one.view().any(|held| held.record.name.as_str() == *name && held.record.state.lives())
-    }));
-}
-
 proptest! {
     #[test]
     fn nothing_that_comes_makes_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1_500)) {
--- a/crates/lockusher-lab/src/mixers/simulate.rs
+++ b/crates/lockusher-lab/src/mixers/simulate.rs
@@ -48,10 +48,17 @@
         (each(after.bytes_out - before.bytes_out), each(after.datagrams_out - before.datagrams_out));
     let (mut seen, mut none_at_1) = (Vec::new(), 0);
     let end = world.now + span;
-    let mut round = 0;
+    let mut order: Vec<u8> = Vec::new();
     while world.now < end {
         let some = |rng: &mut ChaCha8Rng| rng.random_range(0..members);
-        match round % 7 {
+        if order.is_empty() {
+            // Each kind once in a cycle, in an order drawn from the seed.
+            order = (0..7).collect();
+            for last in (1..7).rev() {
+                order.swap(last, rng.random_range(0..=last));
+            }
+        }
+        match order.pop().unwrap_or_default() {
             0 => {
                 let one = some(&mut rng);
                 world.kill(one);
@@ -119,7 +126,6 @@
         }
         world.all_sound_from_now();
         world.play(Span::from_millis(1_500));
-        round += 1;
     }
     let now = world.now;
     let longest = world.false_deaths.iter().map(|death| death.until.unwrap_or(now).since(death.since)).max();
--- a/crates/lockusher-lab/tests/fleet_processes.rs
+++ b/crates/lockusher-lab/tests/fleet_processes.rs
@@ -172,7 +172,8 @@
 /// The standstill is the fault itself; what follows is waited for.
 #[rstest]
 #[case::for_half_a_second(500)]
-#[case::for_three(3_000)]
+#[case::for_two(2_000)]
+#[case::for_ten(10_000)]
 fn one_that_stood_still_blames_nobody_and_is_the_same_life(#[case] ms: u64) {
     let mut ground = settled(4);
     let life = |ground: &Ground| ground.says(0).expect("a view").members[&name(1)].2;
