Views are alike if they hold the same lives, whatever was refuted on the way

Seen, second by second at 300 members and 30% loss: all hold 300 living from the fifth second on, and views still differ in some ten incarnations at any time, as ten suspicions a second are raised and refuted. Ruled out: members believed dead (one in 25 s, undone at once) and exchanges that fail (100 a second go on). At fault: Table::digest, which counted refutations as a difference of views. Change: the digest that is shown and compared is of lives; exchanges go on by the one with refutations, which ends suspicions that news missed.

--- a/crates/lockusher-fleet/src/core/mod.rs
+++ b/crates/lockusher-fleet/src/core/mod.rs
@@ -203,7 +203,7 @@
 
     /// One number for the living that this mixer knows; like views have like ones.
     pub fn digest(&self) -> u64 {
-        self.table.digest()
+        self.table.view()
     }
 
     /// The mixers whose shares may be in use. The dead count as long as they are remembered, since one that is cut
--- a/crates/lockusher-fleet/src/core/table.rs
+++ b/crates/lockusher-fleet/src/core/table.rs
@@ -100,14 +100,16 @@
         (self.generation, self.incarnation, self.state)
     }
 
-    /// What members agree on: a suspicion is not yet a difference.
-    fn sum(&self) -> u64 {
-        if !self.state.lives() {
-            return 0;
-        }
+    /// Which life of which member, if it lives: what a view is. A suspicion is not yet a difference.
+    fn life(&self) -> u64 {
         let mut sum = Mixer(self.generation);
         sum.write(self.name.as_str().as_bytes());
-        mix(sum.finish(), u64::from(self.incarnation))
+        if self.state.lives() { sum.finish() } else { 0 }
+    }
+
+    /// What an exchange makes alike: the newest refutation too, which ends a suspicion that news missed.
+    fn sum(&self) -> u64 {
+        if self.state.lives() { mix(self.life(), u64::from(self.incarnation)) } else { 0 }
     }
 }
 
@@ -145,6 +147,8 @@
 pub struct Table {
     members: ByName<Held>,
     sums: Vec<u64>,
+    /// Of all lives.
+    lives: u64,
     living: usize,
 }
 
@@ -156,7 +160,7 @@
 
 impl Table {
     pub fn new() -> Self {
-        Table { members: ByName::default(), sums: vec![0; BUCKETS], living: 0 }
+        Table { members: ByName::default(), sums: vec![0; BUCKETS], lives: 0, living: 0 }
     }
 
     pub fn get(&self, name: &MixerName) -> Option<&Held> {
@@ -191,6 +195,7 @@
     /// Holds this report from now on, whatever was held; tells what was.
     pub fn put(&mut self, now: Time, record: Record) -> Option<Record> {
         let (place, sum, lives) = (bucket(&record.name), record.sum(), record.state.lives());
+        let life = record.life();
         let old = self.members.get(&record.name);
         let unlike =
             |old: &Held| old.record.state != record.state || old.record.generation != record.generation;
@@ -203,6 +208,7 @@
         let old = self.members.insert(held.record.name.clone(), held).map(|old| old.record);
         // Sums are undone by the same operation that made them.
         self.sums[place] ^= sum ^ old.as_ref().map_or(0, Record::sum);
+        self.lives ^= life ^ old.as_ref().map_or(0, Record::life);
         self.living += usize::from(lives);
         self.living -= usize::from(old.as_ref().is_some_and(|old| old.state.lives()));
         old
@@ -211,11 +217,17 @@
     pub fn forget(&mut self, name: &MixerName) {
         if let Some(held) = self.members.remove(name) {
             self.sums[bucket(name)] ^= held.record.sum();
+            self.lives ^= held.record.life();
             self.living -= usize::from(held.record.state.lives());
         }
     }
 
-    /// One number for all the living: unlike views have unlike ones, but for one case in 2^64.
+    /// One number for all lives: unlike views have unlike ones, but for one case in 2^64.
+    pub fn view(&self) -> u64 {
+        self.lives
+    }
+
+    /// The same with each member's newest refutation: what exchanges go by.
     pub fn digest(&self) -> u64 {
         self.sums.iter().fold(0, |all, sum| mix(all, *sum))
     }
