A watch is held for one second: a drain is obeyed in 6 s whatever fails at discovery

Seen, by reading: a watch asked for 20 s and was given up 2 s later, so one that fell silent was learnt of after 22 s; where lists are asked for, a refusal could be followed by a pause of a quarter of ask_every, half as much again (22 s at 60 s). Change: transport/discovery.rs holds a second and allows another; after a failure, and at a new address, a call is to be answered at once, with patience that grows from 0.5 to 2 s for a slow agent; ask_every counts as 6 s at most (host settings). Tests: tests/endings.rs, 56 stories (a watch silent, reset or whole, then a call that hangs, errs, is reset, cut or late; told or on asking; an agent down, with idle clients in all places; a move by SIGHUP). Taken out: with 20 s the silent ones fail (told after over 20 s), without the cap both on asking do.

--- a/crates/lockusher-host/src/settings.rs
+++ b/crates/lockusher-host/src/settings.rs
@@ -193,9 +193,13 @@
         }
     }
 
+    /// How often discovery must be asked at the least, where it tells only those that ask. Whatever a refusal or a
+    /// silence allows besides, a change counts as told so long after discovery had it and could be reached.
     pub fn ask_every(&self) -> Option<Span> {
-        let us = self.rules.ask_every_us?;
-        (self.membership_mode == Membership::OnRequest).then(|| Span::from_micros(us))
+        const TOLD_AFTER: Span = Span::from_millis(6_000);
+        let stated = self.rules.ask_every_us.map(Span::from_micros);
+        (self.membership_mode == Membership::OnRequest)
+            .then(|| stated.map_or(TOLD_AFTER, |us| us.min(TOLD_AFTER)))
     }
 
     /// The longest time to come back that a client keeps to; none if clients are not told one.
--- a/crates/lockusher-lab/src/stand_in/world.rs
+++ b/crates/lockusher-lab/src/stand_in/world.rs
@@ -32,6 +32,8 @@
     pub knows: bool,
     /// Whether discovery must be asked, and tells nobody else.
     pub asks: bool,
+    /// How often it must be asked at the least, then.
+    pub ask_every_ms: u64,
     /// Cells, shards that a searcher of one holds, and shards.
     pub cells: usize,
     pub in_a_row: usize,
@@ -57,6 +59,7 @@
             connect_ms: 250,
             knows: true,
             asks: false,
+            ask_every_ms: 2_000,
             cells: 3,
             in_a_row: 3,
             shards: 24,
@@ -89,7 +92,7 @@
             "conn_idle_us": setup.idle_ms * 1000, "connect_timeout_us": setup.connect_ms * 1000,
         },
         "rules": { "cold_from": 0.2, "ramp_time_us": 9_000_000, "fall_multiple": 4.0, "tip_after_us": 1_000_000,
-            "ask_every_us": 2_000_000 },
+            "ask_every_us": setup.ask_every_ms * 1000 },
     })
 }
 
--- a/crates/lockusher-mixer/src/config.rs
+++ b/crates/lockusher-mixer/src/config.rs
@@ -62,7 +62,7 @@
     pub may_probe: bool,
     /// No client waits longer for an answer.
     pub longest: Span,
-    /// How long discovery may hold a watch, and whether it tells only those that ask.
+    /// How long discovery may hold a watch at the most, and whether it tells only those that ask.
     pub hold: Span,
     pub on_request: bool,
 }
@@ -168,7 +168,7 @@
         may_withdraw: limits.may_cancel,
         may_probe: limits.probes,
         longest,
-        hold: settings.ask_every().unwrap_or(Span::from_millis(20_000)),
+        hold: settings.ask_every().unwrap_or(Span::MAX),
         on_request: settings.membership_mode == Membership::OnRequest,
     })
 }
--- a/crates/lockusher-mixer/src/transport/discovery.rs
+++ b/crates/lockusher-mixer/src/transport/discovery.rs
@@ -19,10 +19,17 @@
 const WITHIN: Duration = Duration::from_millis(200);
 /// One that answers at once with nothing is not asked faster than this.
 const PACE: Duration = Duration::from_millis(100);
-/// How long after its wait a call's answer may still come.
-const LATE: Duration = Duration::from_secs(2);
-/// The first wait at an address, well within the 4 s after which news of one that moved counts as told.
-const FIRST: Span = Span::from_millis(1_000);
+/// How long a call waits for news that is not there yet. A watch that falls silent shows by nothing else, and what it
+/// misses counts as told 6 s after discovery had it: this, its lateness and two more calls that hang fit into that.
+const HOLD: Span = Span::from_millis(1_000);
+/// The first call at an address, and each after a failure, is to be answered at once: news of an address that moved
+/// counts as told after 4 s, and versions may begin anew there.
+const AT_ONCE: Span = Span::from_millis(50);
+/// How long after its wait a call's answer may still come: usually, first after a failure, and at the most, for an
+/// agent that is slow.
+const LATE: Duration = Duration::from_millis(1_000);
+const LATE_AFTER_FAILURE: Duration = Duration::from_millis(500);
+const LATEST: Duration = Duration::from_millis(2_000);
 
 /// Watches for what is newer than `from`, for good, wherever discovery moves. Where it tells only those that ask,
 /// a watch begins when asked for or when discovery moves, and its failure is told.
@@ -57,19 +64,19 @@
     queue: &mpsc::Sender<Arrival>,
 ) {
     // No time-out of the client's own may end a watch early.
-    let longest = duration(sockets.hold) + LATE;
+    let longest = duration(HOLD) + LATEST;
     let connector =
         Connector::new().timeout(duration(sockets.connect_timeout)).conn_lifetime(longest * 1_000);
     let client = Client::builder().connector(connector).timeout(longest).finish();
-    // Versions may begin anew at another address: a first wait that is short shows it soon.
-    let mut hold = sockets.hold.min(FIRST);
+    // How late an answer may be, and how late it may usually be, by how long the last first call took.
+    let (mut hold, mut late, mut usual) = (AT_ONCE, LATE, LATE);
     loop {
         if !std::mem::replace(began, !sockets.on_request) {
             asked.notified().await;
         }
         loop {
             let began = Instant::now();
-            let told = match call(&client, address, names, *from, hold, duration(hold) + LATE).await {
+            let told = match call(&client, address, names, *from, hold, late).await {
                 Ok(list) if list.complete || from.is_some_and(|from| list.index >= from) => list,
                 Ok(list) => {
                     // A version that goes back, or a change to a list not held, tells of a restart there.
@@ -83,6 +90,8 @@
                 }
                 Err(error) => {
                     tracing::warn!("discovery: {error}");
+                    late = if hold == AT_ONCE { (late * 2).min(LATEST) } else { LATE_AFTER_FAILURE };
+                    hold = AT_ONCE;
                     if sockets.on_request {
                         break;
                     }
@@ -90,7 +99,8 @@
                     continue;
                 }
             };
-            hold = sockets.hold;
+            usual = if hold == AT_ONCE { (began.elapsed() * 2).clamp(LATE, LATEST) } else { usual };
+            (hold, late) = (sockets.hold.min(HOLD), usual);
             let (index, nothing) = (told.index, told.lines.is_empty());
             let Ok(place) = queue.reserve().await else { return };
             place.send(Arrival::Told(Some(told)));
@@ -111,7 +121,7 @@
     names: &Names,
     from: Option<u64>,
     hold: Span,
-    most: Duration,
+    late: Duration,
 ) -> Result<List, String> {
     let url = format!("http://{address}{}", discovery::path(from, hold));
     let whole = async {
@@ -122,7 +132,7 @@
         let body = response.body().limit(MOST_LIST).await.map_err(|e| e.to_string())?;
         discovery::decode(&body, names).map_err(|e| format!("no list: {e}"))
     };
-    tokio::time::timeout(most, whole).await.map_err(|_| "silent".to_owned())?
+    tokio::time::timeout(duration(hold) + late, whole).await.map_err(|_| "silent".to_owned())?
 }
 
 /// A list of some thousand searchers.
