Closes linger, a client gone behind unread bytes is seen, short deadlines end in time

Seen: (1) present() peeked for a byte, so a client whose end lay behind unread bytes counted as there, and nobody read on to its end (client_stream.rs); (2) poll_shutdown shut the write side and the stream was dropped over unread bytes: a reset; (3) accepting took a connection before it had a place and dropped both it and the listener's backlog at the close (clients.rs); (4) a close between two requests went by what tokio had been told of; (5) with a longest deadline under 0.5 s a process closed the moment it was told to stop, while new connections come for 0.4 s more (serve.rs: 1.2 s before the kill whatever the deadline). Change: POLLRDHUP is asked, every 30 ms while bytes are ahead; half-close, then what comes is read and dropped for 0.5 s (0.1 s where nothing was written lately); a place before each accept; the backlog is served at the close; the system is asked for unread bytes; bounds that shrink with the deadline, never under 0.5 s.

--- a/crates/lockusher-lab/src/stand_in/client.rs
+++ b/crates/lockusher-lab/src/stand_in/client.rs
@@ -108,6 +108,11 @@
         answer
     }
 
+    /// What comes where nothing should: nothing at a clean end, an error if the connection was reset.
+    pub fn end(&mut self) -> std::io::Result<usize> {
+        self.stream.read(&mut [0; 64])
+    }
+
     pub fn ask(&mut self, id: &str, shards: &[usize]) -> Answer {
         self.write(&request(id, &body(shards)));
         self.read().expect("an answer")
--- a/crates/lockusher-lab/src/stand_in/searcher.rs
+++ b/crates/lockusher-lab/src/stand_in/searcher.rs
@@ -15,6 +15,8 @@
     Bad,
     Later,
     Silent,
+    /// The answer is held until `answers_held` says what it is.
+    Held,
     /// The connection breaks once the frame has come.
     Break,
     /// A frame that can't be read, or one of absurd length.
@@ -58,6 +60,8 @@
     resumed: Condvar,
     /// While probes are held: the connections on which an answer is owed, by the order in which they came up.
     owed: Mutex<Option<Vec<(usize, TcpStream)>>>,
+    /// Parts whose answers are held, with their connections.
+    held: Mutex<Vec<(Seen, TcpStream)>>,
 }
 
 #[derive(Default, Clone)]
@@ -106,6 +110,7 @@
             stuck: Mutex::new(false),
             resumed: Condvar::new(),
             owed: Mutex::new(None),
+            held: Mutex::default(),
             changed: Condvar::new(),
         })
     }
@@ -172,6 +177,16 @@
         !due.is_empty()
     }
 
+    /// Answers what is held, all alike.
+    pub fn answers_held(&self, act: Act) {
+        for (part, stream) in std::mem::take(&mut *self.held.lock().unwrap()) {
+            let _ = (&stream).write_all(&self.answer(&part, act));
+            if act == Act::Break {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
     fn note(&self, what: impl FnOnce(&mut Log)) {
         what(&mut self.log.lock().unwrap());
         self.changed.notify_all();
@@ -204,6 +219,10 @@
                     for part in parts(&rest) {
                         let act = self.script.lock().unwrap().clone()(&part);
                         let answer = self.answer(&part, act);
+                        if act == Act::Held {
+                            let own = stream.try_clone().expect("a stream");
+                            self.held.lock().unwrap().push((part.clone(), own));
+                        }
                         self.note(|log| log.parts.push(part));
                         if act == Act::Break {
                             let _ = stream.shutdown(Shutdown::Both);
@@ -251,7 +270,7 @@
             Act::Twice => [q("good", &value), q("good", "another")].concat(),
             Act::Bad => q("bad", ""),
             Act::Later => q("later", ""),
-            Act::Silent | Act::Break | Act::Mute => Vec::new(),
+            Act::Silent | Act::Held | Act::Break | Act::Mute => Vec::new(),
             Act::Garbage => frame(b'q', b"no line"),
             Act::Absurd => vec![0xff; 64],
             Act::Unusable => frame(b'r', b"what is this"),
--- a/crates/lockusher-lab/src/stand_in/world.rs
+++ b/crates/lockusher-lab/src/stand_in/world.rs
@@ -20,6 +20,10 @@
 pub struct Setup {
     pub searchers: usize,
     pub effect: &'static str,
+    /// How long repeats of a deduped part are dropped.
+    pub window_ms: u64,
+    /// How long clients wait in all.
+    pub deadline_ms: u64,
     pub second_step: usize,
     pub sockets: usize,
     pub memory_mb: usize,
@@ -49,6 +53,8 @@
         Setup {
             searchers: 3,
             effect: "safe",
+            window_ms: 2_000,
+            deadline_ms: 5_000,
             second_step: 0,
             sockets: 256,
             memory_mb: 64,
@@ -71,8 +77,8 @@
 
 pub fn settings(setup: &Setup) -> Value {
     let grade = |name: &str, effect: &str| {
-        json!({ "name": name, "promise_us": 300_000, "deadline_us": 5_000_000, "effect": effect, "worth": 1.0,
-            "late_value": 1.0, "dedup_window_us": 2_000_000 })
+        json!({ "name": name, "promise_us": 300_000, "deadline_us": setup.deadline_ms * 1000, "effect": effect,
+            "worth": 1.0, "late_value": 1.0, "dedup_window_us": setup.window_ms * 1000 })
     };
     let once = setup.once.then(|| grade("once", "unsafe"));
     let grades: Vec<Value> = [grade("look", setup.effect)].into_iter().chain(once).collect();
--- a/crates/lockusher-mixer/src/program/serve.rs
+++ b/crates/lockusher-mixer/src/program/serve.rs
@@ -32,10 +32,21 @@
 /// down at the same time.
 const KILLED_AFTER: Duration = Duration::from_millis(700);
 const LONGEST_COUNTED: Duration = Duration::from_millis(3_000);
-/// So long before that it closes what is unused and each connection with its answer, and gives up what is
-/// still in hand.
+/// So long before that it closes what is unused and each connection with its answer, and gives up what is still in
+/// hand; less of both where route timeouts are short, so that it serves on while new connections may still come.
 const CLOSE: Duration = Duration::from_millis(1_200);
 const GIVE_UP: Duration = Duration::from_millis(400);
+/// New connections come for up to 0.4 s after it was told; those that came with the last of them are read by then.
+const STILL_COMING: Duration = Duration::from_millis(500);
+
+/// When a process that was told to stop closes what is unused, and when it gives up what is in hand; then how long the
+/// last answers may take, which ends before it is killed.
+fn stops(longest: Duration) -> [Duration; 3] {
+    let killed = longest.min(LONGEST_COUNTED) + KILLED_AFTER;
+    let close = killed.saturating_sub(CLOSE).max(STILL_COMING);
+    let give_up = GIVE_UP.min((killed - close) / 2);
+    [close, killed - give_up - close, give_up * 3 / 4]
+}
 
 /// Between two reports of what this mixer saw: a few fit into a second, each costs a look at all searchers.
 const REPORT_EVERY: Duration = Duration::from_millis(100);
@@ -226,14 +237,14 @@
     if let Some(fleet) = &fleet {
         let _ = fleet.send(Ask::Leave).await;
     }
-    let killed = duration(sockets.longest).min(LONGEST_COUNTED) + KILLED_AFTER;
-    tokio::time::sleep(killed.saturating_sub(CLOSE)).await;
+    let [close, answer, last] = stops(duration(sockets.longest));
+    tokio::time::sleep(close).await;
     stop.send_replace(Stopping::Closing);
     closed.notify_one();
-    let mut answered = tokio::time::timeout(CLOSE - GIVE_UP, &mut serving).await.is_ok();
+    let mut answered = tokio::time::timeout(answer, &mut serving).await.is_ok();
     if !answered {
         let _ = queue.send(Arrival::Stop).await;
-        answered = tokio::time::timeout(GIVE_UP / 2, serving).await.is_ok();
+        answered = tokio::time::timeout(last, serving).await.is_ok();
     }
     tracing::info!(
         "{} ends: {}",
--- a/crates/lockusher-mixer/src/transport/client_stream.rs
+++ b/crates/lockusher-mixer/src/transport/client_stream.rs
@@ -3,9 +3,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::AsRawFd;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
@@ -15,6 +17,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Sleep;
 
 use crate::protocol::MOST_HEAD;
 
@@ -28,6 +31,20 @@
 /// One that was used is kept for longer, as clients keep theirs.
 const UNUSED: Duration = Duration::from_secs(10);
 
+/// How often it is looked whether a client has gone whose end lies behind bytes that are not read yet: it must not be
+/// sent on for later than 0.1 s after.
+const LOOK_FOR_END: Duration = Duration::from_millis(30);
+/// How long what still comes is read, and dropped, once nothing more will be written: a close over unread bytes resets
+/// the connection, and an answer on its way may be lost with it. Also how long a refusal may take to reach a client
+/// that is still sending.
+pub const LINGER: Duration = Duration::from_millis(500);
+/// The same where nothing was written for longer than this, so that nothing is on its way but a request that crosses the
+/// close: a crowd of such connections must not hold places for long.
+const WRITTEN_LATELY: Duration = Duration::from_millis(1_000);
+const CROSSING: Duration = Duration::from_millis(100);
+/// Reads of one turn that lingers, so that a client that sends without end holds up nobody.
+const MOST_READS: usize = 16;
+
 /// What is known of one connection.
 pub struct Usage {
     came: Instant,
@@ -43,6 +60,8 @@
     refused: Cell<bool>,
     /// Bytes of an answer wait for the client to read.
     unwritten: Cell<bool>,
+    /// When something was last written.
+    wrote: Cell<Option<Instant>>,
     /// It has had an answer; one to what it asked searchers for.
     answered: Cell<bool>,
     served: Cell<bool>,
@@ -74,6 +93,7 @@
             whole: Cell::new(false),
             refused: Cell::new(false),
             unwritten: Cell::new(false),
+            wrote: Cell::new(None),
             answered: Cell::new(false),
             served: Cell::new(false),
             used: Cell::new(now),
@@ -126,19 +146,30 @@
     /// Whether its client is there: asks the system, as a mixer that had to stand still has not read it yet.
     pub fn present(&self) -> bool {
         let Some(stream) = self.stream.upgrade().filter(|_| !self.gone.get()) else { return false };
-        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(came) => came > 0,
-            Err(error) => error.kind() == io::ErrorKind::WouldBlock,
-        }
+        // Its end may lie behind bytes that are not read yet.
+        !hung_up(&stream) && !matches!(unread(&stream), Unread::End)
     }
 
     /// Ends once the client has gone away.
     pub async fn left(&self) {
         while !self.gone.get() {
-            self.left.notified().await;
+            // With more come than is in use, reading may have stopped short of its end.
+            tokio::select! {
+                () = self.left.notified() => {}
+                () = tokio::time::sleep(LOOK_FOR_END), if self.ahead.get() > 0 => {
+                    if !self.present() {
+                        return self.gone.set(true);
+                    }
+                }
+            }
         }
     }
 
+    /// Whether it is to be closed as soon as it may be.
+    pub fn closes(&self) -> bool {
+        self.closing.get() != Closing::No
+    }
+
     fn unused(&self) -> bool {
         self.began.get().is_none() && !self.asked.get() && !self.unwritten.get()
     }
@@ -163,33 +194,64 @@
         }
     }
 
+    /// Closes it whatever its client does, between two requests if that is where it is.
+    fn end(&self) {
+        self.close(if self.unused() { Closing::WhenUnused } else { Closing::Now });
+    }
+
     fn close(&self, how: Closing) {
         self.closing.set(how);
         self.wake();
     }
 }
 
+/// Whether the other side has closed, asked of the system: this shows though bytes before it are not read yet.
+fn hung_up(stream: &TcpStream) -> bool {
+    let mut asked = libc::pollfd { fd: stream.as_raw_fd(), events: libc::POLLRDHUP, revents: 0 };
+    // SAFETY: one entry, which outlives the call; with no time to wait it returns at once.
+    let told = unsafe { libc::poll(&mut asked, 1, 0) };
+    told > 0 && asked.revents & (libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR) != 0
+}
+
+/// What lies unread on a connection, asked of the system.
+enum Unread {
+    Nothing,
+    Bytes,
+    End,
+}
+
+fn unread(stream: &TcpStream) -> Unread {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(came) if came > 0 => Unread::Bytes,
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
+        Ok(_) | Err(_) => Unread::End,
+    }
+}
+
 pub struct ClientStream {
     stream: Rc<TcpStream>,
     pub usage: Rc<Usage>,
     /// It has read in this turn: the next read is another turn's, so that what is read is used before.
     rests: bool,
+    /// Nothing more is written; until when what comes is still read.
+    lingers: Option<Pin<Box<Sleep>>>,
 }
 
 impl ClientStream {
     pub fn new(stream: TcpStream) -> Self {
         let stream = Rc::new(stream);
         let usage = Rc::new(Usage { stream: Rc::downgrade(&stream), ..Usage::default() });
-        ClientStream { stream, usage, rests: false }
+        ClientStream { stream, usage, rests: false, lingers: None }
     }
 
-    fn poll_come(&self, cx: &mut Context<'_>, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+    /// Reads what has come; tells how much, nothing at its end.
+    fn poll_come(&self, cx: &mut Context<'_>, buf: &mut ReadBuf) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(came) => {
                     buf.advance(came);
-                    return Poll::Ready(Ok(()));
+                    return Poll::Ready(Ok(came));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
@@ -212,29 +274,34 @@
             if ahead >= MOST_HEAD && !usage.asked.get() {
                 return Poll::Ready(Ok(())); // A head that does not end.
             }
-            let before = buf.filled().len();
             match self.poll_come(cx, buf) {
                 Poll::Pending => {}
-                read => {
-                    let came = buf.filled().len() - before;
-                    if came == 0 {
-                        usage.gone.set(true);
-                        usage.left.notify_one();
-                        return read;
-                    }
+                Poll::Ready(ended @ (Ok(0) | Err(_))) => {
+                    usage.gone.set(true);
+                    usage.left.notify_one();
+                    return Poll::Ready(ended.map(drop));
+                }
+                Poll::Ready(Ok(came)) => {
                     self.rests = true;
                     usage.ahead.set(ahead + came);
+                    if usage.whole.get() {
+                        // Whoever waits for its end has to look for it from here on.
+                        usage.left.notify_one();
+                    }
                     usage.last_read.set(Instant::now());
                     if usage.began.get().is_none() && !usage.whole.get() {
                         usage.began.set(Some(Instant::now()));
                     }
-                    return read;
+                    return Poll::Ready(Ok(()));
                 }
             }
         }
-        // What has come is read even when closing: a request that was sent gets its answer.
+        // What has come is read even when closing: a request that was sent gets its answer. The system is asked, as
+        // bytes may have come that nobody was told of yet.
         match usage.closing.get() {
-            Closing::WhenUnused if usage.unused() => return Poll::Ready(Ok(())),
+            Closing::WhenUnused if usage.unused() && !matches!(unread(&self.stream), Unread::Bytes) => {
+                return Poll::Ready(Ok(()));
+            }
             Closing::Now if !usage.whole.get() => return Poll::Ready(Ok(())),
             _ => {}
         }
@@ -255,6 +322,7 @@
             }
         };
         self.usage.unwritten.set(written.is_pending());
+        self.usage.wrote.set(Some(Instant::now()));
         if written.is_pending() && self.usage.closing.get() == Closing::Now {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
@@ -265,8 +333,35 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    /// A half-close, then a lingering close that is bounded: what comes now is read and dropped, never used.
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.usage.gone.get() {
+            return Poll::Ready(Ok(()));
+        }
+        if self.lingers.is_none() {
+            if SockRef::from(&*self.stream).shutdown(Shutdown::Write).is_err() {
+                return Poll::Ready(Ok(())); // Its client was quicker.
+            }
+            let lately = self.usage.wrote.get().is_some_and(|at| at.elapsed() < WRITTEN_LATELY);
+            let span = if lately { LINGER } else { CROSSING };
+            self.lingers = Some(Box::pin(tokio::time::sleep(span)));
+        }
+        if let Some(lingers) = self.lingers.as_mut()
+            && lingers.as_mut().poll(cx).is_ready()
+        {
+            return Poll::Ready(Ok(()));
+        }
+        let mut waste = [0; 4 * 1024];
+        for _ in 0..MOST_READS {
+            match self.poll_come(cx, &mut ReadBuf::new(&mut waste)) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Err(_)) => return Poll::Ready(Ok(())),
+                Poll::Ready(Ok(0)) => return Poll::Ready(Ok(())),
+                Poll::Ready(Ok(_)) => {}
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
@@ -296,7 +391,7 @@
     /// Closes those that have said nothing for too long, or take too long to say what they want.
     pub fn close_overdue(&self) {
         let open = self.open.borrow();
-        open.values().filter(|usage| usage.overdue()).for_each(|usage| usage.close(Closing::Now));
+        open.values().filter(|usage| usage.overdue()).for_each(|usage| usage.end());
     }
 
     /// Closes the connection unused for longest if more than `most` were asked multigets on: clients may hold only so
@@ -325,7 +420,12 @@
             fit.then_some((usage, !slow && usage.served.get(), usage.used.get()))
         });
         if let Some((usage, ..)) = closable.min_by_key(|(_, served, used)| (*served, *used)) {
-            usage.close(if usage.unused() { Closing::WhenUnused } else { Closing::Now });
+            usage.end();
         }
     }
+
+    /// Those that are being closed, whose places are free soon.
+    pub fn closing(&self) -> usize {
+        self.open.borrow().values().filter(|usage| usage.closes()).count()
+    }
 }
--- a/crates/lockusher-mixer/src/transport/clients.rs
+++ b/crates/lockusher-mixer/src/transport/clients.rs
@@ -14,20 +14,20 @@
 };
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::BytesMut;
-use futures_util::StreamExt;
+use futures_util::{FutureExt, StreamExt};
 use lockusher::interface::MultigetId;
 use lockusher_fleet::io as fleet;
 use lockusher_host::settings::Names;
 use lockusher_registry::io::{Ask, Asks};
-use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 
 use crate::config::Sockets;
 use crate::protocol::MOST_BODY;
 use crate::protocol::client::{self, Head, Unusable};
 use crate::routing::carrier::Wanted;
 use crate::routing::{Arrival, Asked, Given};
-use crate::transport::client_stream::{ClientStream, Connections, Usage};
+use crate::transport::client_stream::{ClientStream, Connections, LINGER, Usage};
 
 /// How long accepting pauses when it can't go on, so that it neither spins nor keeps anyone waiting.
 const PAUSE: Duration = Duration::from_millis(10);
@@ -36,8 +36,6 @@
 const AHEAD: usize = 8;
 /// How often connections are looked through for those to be closed.
 const LOOK: Duration = Duration::from_millis(250);
-/// How long a refusal may take to reach a client that is still sending.
-const LINGER: Duration = Duration::from_millis(500);
 
 /// How far the program has come in stopping.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -99,21 +97,27 @@
     let Ok(service) = service else {
         return tracing::info!("the server of clients could not be made");
     };
+    let start = |stream: TcpStream, peer, place: OwnedSemaphorePermit| {
+        let _ = stream.set_nodelay(true);
+        let stream = ClientStream::new(stream);
+        let number = connections.add(stream.usage.clone());
+        connections.keep(desk.sockets.most_kept);
+        let connection = service.call((stream, Protocol::Http1, Some(peer)));
+        let connections = connections.clone();
+        actix_rt::spawn(async move {
+            // What ends a connection concerns its client alone.
+            let _ = connection.await;
+            connections.remove(number);
+            drop(place);
+        });
+    };
     let accept = async {
         loop {
-            let (stream, peer) = match listener.accept().await {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    tracing::warn!("accepting: {error}");
-                    tokio::time::sleep(PAUSE).await;
-                    continue;
-                }
-            };
-            let _ = stream.set_nodelay(true);
-            // With no place left the next ones wait in the listener's backlog until one can be closed.
+            // The place first: a connection that was accepted and has none would be reset if accepting ends now. With
+            // no place left the next ones wait in the listener's backlog until one can be closed.
             // Room is made some places ahead, so that a crowd does not wait for each to be closed.
             let place = loop {
-                if places.available_permits() < AHEAD {
+                if places.available_permits() + connections.closing() < AHEAD {
                     // Those just accepted are read first, and show what they are.
                     tokio::task::yield_now().await;
                     connections.make_room();
@@ -125,17 +129,13 @@
                     Err(_) => {}
                 }
             };
-            let stream = ClientStream::new(stream);
-            let number = connections.add(stream.usage.clone());
-            connections.keep(desk.sockets.most_kept);
-            let connection = service.call((stream, Protocol::Http1, Some(peer)));
-            let connections = connections.clone();
-            actix_rt::spawn(async move {
-                // What ends a connection concerns its client alone.
-                let _ = connection.await;
-                connections.remove(number);
-                drop(place);
-            });
+            match listener.accept().await {
+                Ok((stream, peer)) => start(stream, peer, place),
+                Err(error) => {
+                    tracing::warn!("accepting: {error}");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
         }
     };
     let close_overdue = async {
@@ -149,6 +149,14 @@
         () = close_overdue => {}
         () = closed.notified() => {}
     }
+    connections.close_unused();
+    // What the system has accepted counts as taken: it is served as far as places get free for it.
+    tokio::task::yield_now().await;
+    while let Ok(Ok(place)) = tokio::time::timeout(LINGER, places.clone().acquire_owned()).await
+        && let Some(Ok((stream, peer))) = listener.accept().now_or_never()
+    {
+        start(stream, peer, place);
+    }
     drop(listener);
     connections.close_unused();
     let _ = places.acquire_many(most as u32).await;
@@ -178,7 +186,7 @@
         },
     };
     usage.answered(request.path() != client::UP && !response.status().is_client_error());
-    if desk.closes() {
+    if desk.closes() || usage.closes() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- a/crates/lockusher-mixer/tests/endings.rs
+++ b/crates/lockusher-mixer/tests/endings.rs
@@ -1,10 +1,16 @@
 //! Rare moments: what ends while something is still owed. Each story holds one side until the mixer is seen at the
 //! point in question, and then lets the other happen. `docs/endings.md` lists them.
 
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use lockusher_lab::stand_in::*;
+use lockusher_mixer::transport::client_stream::{ClientStream, Connections};
+use lockusher_mixer::transport::clients;
 use rstest::rstest;
+use tokio::io::{AsyncRead, ReadBuf};
 
 /// A change counts as told so long after discovery had it and could be reached, whatever failed before.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
@@ -117,3 +123,188 @@
     }
     assert_eq!(world.searchers[0].log().parts.len(), before);
 }
+
+/// More than the mixer reads ahead of what is in use: some of it stays unread.
+const AHEAD: usize = 40_000;
+
+/// Bytes behind a request that no request of use follows from.
+fn bytes_behind(how_many: usize) -> Vec<u8> {
+    format!("POST /look HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n{}", "x".repeat(how_many))
+        .into_bytes()
+}
+
+/// A client goes away between two attempts of its part, the first of which fails only then. Where its end lay behind
+/// bytes that the mixer had no use for, it counted as there, and the second attempt was sent.
+#[rstest]
+#[case::nothing_behind(0)]
+#[case::with_bytes_unread(AHEAD)]
+fn nothing_begins_for_a_client_that_went_between_attempts(#[case] behind: usize) {
+    let world = World::start(Setup::default());
+    world.all_do(|_| Act::Held);
+    let mut client = world.client();
+    client.write(&request("q1", &body(&[3])));
+    world.until(|| !world.sends("q1").is_empty());
+    if behind > 0 {
+        client.write(&bytes_behind(behind));
+    }
+    drop(client);
+    world.until(|| world.searchers.iter().any(|s| s.log().given_up == ["q1.3"]));
+    world.all_do(|_| Act::Good);
+    world.searchers.iter().for_each(|s| s.answers_held(Act::Bad));
+    assert_eq!(world.client().ask("q2", &[3]).status, 200);
+    assert_eq!(world.sends("q1").len(), 1);
+}
+
+/// The same before the first attempt, while the part waits for a connection to come up.
+#[rstest]
+#[case::nothing_behind(0)]
+#[case::with_bytes_unread(AHEAD)]
+fn nothing_begins_for_a_client_that_went_while_its_part_waited_for_a_connection(#[case] behind: usize) {
+    let world = World::start(Setup { searchers: 1, connect_ms: 10_000, ..Setup::default() });
+    let (slow, unclog) = Searcher::clogged("s9");
+    let own = &world.searchers[0];
+    let lines = vec![line(own, 0, "leaving"), line(&slow, 0, "active")];
+    world.discovery.tell(2, true, lines);
+    world.discovery.told(2);
+    let mut client = world.client();
+    client.write(&request("q1", &body(&[3])));
+    // Its part waits: another's on the same connection does too.
+    let mut stays = world.client();
+    stays.write(&request("q2", &body(&[3])));
+    if behind > 0 {
+        client.write(&bytes_behind(behind));
+    }
+    drop(client);
+    unclog();
+    assert_eq!(stays.read().expect("an answer").status, 200);
+    assert_eq!(world.client().ask("q3", &[3]).status, 200);
+    let came: Vec<String> = slow.log().parts.into_iter().map(|part| part.id).collect();
+    assert_eq!(came, ["q2.3", "q3.3"]);
+}
+
+/// The same while the part waits for a cold searcher's turn.
+#[rstest]
+#[case::nothing_behind(0)]
+#[case::with_bytes_unread(AHEAD)]
+fn nothing_begins_for_a_client_that_went_while_its_part_waited_for_a_cold_searcher(#[case] behind: usize) {
+    let world = World::start(Setup { searchers: 1, mixers: 2, ..Setup::default() });
+    let mut cold = line(&world.searchers[0], 0, "active");
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time");
+    cold["since_ms"] = (now.as_millis() as u64).into();
+    world.discovery.tell(2, true, vec![cold]);
+    world.discovery.told(2);
+    let mut clients: Vec<Client> = (0..4).map(|_| world.client()).collect();
+    // One has the turn, the others wait for theirs.
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.write(&request(&format!("q{i}"), &body(&[3])));
+    }
+    world.until(|| !world.sends("q").is_empty());
+    let turn = world.sends("q")[0].1.id.clone();
+    let mut went = Vec::new();
+    for (i, mut client) in clients.into_iter().enumerate().filter(|(i, _)| turn != format!("q{i}.3")) {
+        if behind > 0 {
+            client.write(&bytes_behind(behind));
+        }
+        went.push(format!("q{i}.3"));
+    }
+    // All that went are known to have gone, or never were; their turns pass.
+    let gone = Instant::now();
+    assert_eq!(world.client().ask("r", &[3]).status, 200);
+    let late: Vec<_> = world.sends("q").into_iter().filter(|(_, p)| went.contains(&p.id)).collect();
+    assert!(late.iter().all(|(_, p)| p.at < gone + Duration::from_millis(100)), "{late:?}");
+}
+
+/// An answer that closes its connection while the client's bytes lie unread: the close once reset the connection, and
+/// the answer could be lost with it. What comes after the write side was shut is read, and not sent on.
+#[rstest]
+fn the_last_answer_survives_unread_bytes_and_what_follows_is_not_sent_on() {
+    let mut world = World::start(Setup::default());
+    let (mut busy, mut rests) = (world.client(), world.client());
+    world.all_do(|part| if part.id.starts_with("q0") { Act::Good } else { Act::Held });
+    assert_eq!(rests.ask("q0", &[1]).status, 200);
+    busy.write(&request("q1", &body(&[3])));
+    world.until(|| !world.sends("q1").is_empty());
+    world.terminate();
+    assert_eq!(rests.end().expect("a clean end"), 0);
+    // From here on it closes with each answer. Some of this, a head without an end, stays unread.
+    busy.write(format!("POST /look HTTP/1.1\r\nX: {}", "x".repeat(AHEAD)).as_bytes());
+    world.searchers.iter().for_each(|s| s.answers_held(Act::Good));
+    let answer = busy.read().expect("an answer");
+    assert_eq!((answer.status, answer.headers["connection"].as_str()), (200, "close"));
+    assert_eq!(busy.end().expect("a clean end"), 0);
+    // The write side is shut: this is read, if at all, to be dropped. Had the connection been reset, nothing could be
+    // written on it.
+    assert!(busy.try_write(&request("late", &body(&[4]))), "it was reset");
+    rests.try_write(&request("late", &body(&[5])));
+    assert!(world.ended().success());
+    assert!(world.sends("late").is_empty());
+}
+
+/// The moment in which unused connections are closed passes while the mixer stands still: what came meanwhile, on a
+/// resting connection and on one that only the system has accepted, was taken and gets its answer.
+#[rstest]
+fn what_crossed_the_close_of_a_process_that_ends_is_answered() {
+    let mut world = World::start(Setup { deadline_ms: 300, ..Setup::default() });
+    let mut rests = world.client();
+    assert_eq!(rests.ask("q0", &[1]).status, 200);
+    world.terminate();
+    world.until(|| world.get("/up").status != 200);
+    let mut new = None;
+    world.meanwhile(|| {
+        rests.write(&request("q1", &body(&[1])));
+        let mut client = world.client();
+        client.write(&request("q2", &body(&[2])));
+        new = Some(client);
+        // It closes half a second after it was told.
+        std::thread::sleep(Duration::from_millis(600));
+    });
+    let answers = [rests.read(), new.expect("a client").read()];
+    assert!(
+        answers.iter().all(|a| a.as_ref().is_some_and(|a| a.status == 200 || a.status == 503)),
+        "{answers:?}"
+    );
+    assert!(world.ended().success());
+}
+
+/// With short deadlines a process that is told to end is killed soon; new connections come for 0.4 s all the same, and
+/// those were once refused at once.
+#[rstest]
+fn with_short_deadlines_it_serves_on_as_long_as_new_connections_come() {
+    let mut world = World::start(Setup { deadline_ms: 300, ..Setup::default() });
+    world.terminate();
+    let told = Instant::now();
+    world.until(|| world.get("/up").status != 200);
+    while told.elapsed() < Duration::from_millis(400) {
+        assert_eq!(world.client().ask(&format!("q{}", told.elapsed().as_nanos()), &[1]).status, 200);
+    }
+    // What is in hand at the end is given up before it would be killed.
+    world.all_do(|_| Act::Silent);
+    let mut stuck = world.client();
+    stuck.write(&request("s", &body(&[1])));
+    assert_eq!(stuck.read().expect("an answer").status, 503);
+    assert!(world.ended().success());
+    assert!(told.elapsed() < Duration::from_millis(1_000), "it ends after {:?}", told.elapsed());
+}
+
+/// Bytes lie in the system's buffer when a connection between two requests is closed, and nobody was told of them yet.
+#[rstest]
+fn bytes_that_nobody_was_told_of_yet_are_read_before_a_close() {
+    actix_rt::System::new().block_on(async {
+        let listener = clients::listen("127.0.0.1:0".parse().expect("an address")).await.expect("a port");
+        let mut client = Client::to(listener.local_addr().expect("an address"));
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let mut stream = ClientStream::new(stream);
+        let connections = Connections::default();
+        connections.add(stream.usage.clone());
+        let mut bytes = [0; 64];
+        let mut read = ReadBuf::new(&mut bytes);
+        poll_fn(|cx| Poll::Ready(Pin::new(&mut stream).poll_read(cx, &mut read).is_pending())).await;
+        connections.close_unused();
+        client.write(b"POST");
+        let ended =
+            poll_fn(|cx| Poll::Ready(Pin::new(&mut stream).poll_read(cx, &mut read).is_ready())).await;
+        assert!(!ended, "it was closed over unread bytes");
+        poll_fn(|cx| Pin::new(&mut stream).poll_read(cx, &mut read)).await.expect("bytes");
+        assert_eq!(read.filled(), b"POST");
+    });
+}
