A repeat of a deduped part is held to its window as it leaves, not as it is decided

Seen, by reading: policy.rs compares the window with the time of its decision; the send may then wait up to the connect time-out for a connection, or behind a stuck write, and left after the window (transport/searchers.rs wrote whatever was still wanted). Ruled out: the time of the first send (Send.at) is before its first byte, so the policy errs to the safe side there. Change: what carries a part asks may() as it is about to be written; for deduped op types a RepeatWindow runs from the first byte of whichever send leaves first, and begins anew where none can have run. Late: it ends as moot at once. Half written: broken off.

--- a/crates/lockusher-lab/src/stand_in/searcher.rs
+++ b/crates/lockusher-lab/src/stand_in/searcher.rs
@@ -6,6 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
+
 use super::LONG;
 
 /// What a searcher does about a part.
@@ -17,8 +19,9 @@
     Silent,
     /// The answer is held until `answers_held` says what it is.
     Held,
-    /// The connection breaks once the frame has come.
+    /// The connection breaks once the frame has come; or with half an answer.
     Break,
+    HalfAnswer,
     /// A frame that can't be read, or one of absurd length.
     Garbage,
     Absurd,
@@ -227,6 +230,11 @@
                         if act == Act::Break {
                             let _ = stream.shutdown(Shutdown::Both);
                         }
+                        if act == Act::HalfAnswer {
+                            let _ = stream.write_all(&answer[..answer.len() / 2]);
+                            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                            return;
+                        }
                         mute |= act == Act::Mute;
                         if !mute {
                             let _ = stream.write_all(&answer);
@@ -256,7 +264,7 @@
         };
         let value = format!("v{}", part.id);
         match act {
-            Act::Good => q("good", &value),
+            Act::Good | Act::HalfAnswer => q("good", &value),
             Act::Endless => [&[0, 1, 0, 0][..], b"q", part.id.as_bytes()].concat(),
             Act::OtherId => frame(b'q', b"nobody.3 good 5 load=1\nvalue"),
             Act::OtherEnd => q("fine", &value),
--- a/crates/lockusher-mixer/src/routing/carrier.rs
+++ b/crates/lockusher-mixer/src/routing/carrier.rs
@@ -1,6 +1,7 @@
 //! What carries calls to searchers, as the router sees it. A carrier reports each send's end through the router's
 //! queue; what is told here is told of the searcher as a whole.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -11,8 +12,51 @@
 
 /// Whether anyone still waits for a part.
 pub type Wanted = Rc<dyn Fn() -> bool>;
+
+/// Whether a part may leave, asked as it is about to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum May {
+    Leave,
+    /// Its last byte too must leave by then.
+    LeaveBy(Instant),
+    /// Nobody waits for it any more.
+    Unwanted,
+    /// Its window has passed: no repeat of it is dropped any more.
+    Late,
+}
+
+/// Where a searcher drops repeats of a part for a time only: that time runs from the first byte of the first of its
+/// sends to leave, whichever that is.
+pub struct RepeatWindow {
+    span: std::time::Duration,
+    began: Cell<Option<Instant>>,
+}
+
+impl RepeatWindow {
+    pub fn new(span: std::time::Duration) -> Self {
+        RepeatWindow { span, began: Cell::new(None) }
+    }
+
+    /// Whether a send may leave now; the first that may begins the window.
+    pub fn may_leave(&self, now: Instant) -> May {
+        match self.began.get() {
+            None => {
+                self.began.set(Some(now));
+                May::Leave
+            }
+            Some(began) if now >= began + self.span => May::Late,
+            Some(began) => May::LeaveBy(began + self.span),
+        }
+    }
+
+    /// No send of it that left can have run: the next to leave is the first again.
+    pub fn never_ran(&self) {
+        self.began.set(None);
+    }
+}
+
 /// A part with the number of its send.
-pub type Sent = (usize, CallPart, Wanted);
+pub type Sent = (usize, CallPart, Rc<dyn Fn() -> May>);
 /// One that had not left.
 pub type Unsent = (PartId, usize);
 
--- a/crates/lockusher-mixer/src/routing/desk.rs
+++ b/crates/lockusher-mixer/src/routing/desk.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::Given;
-use super::carrier::{Carrier, Sent, Wanted};
+use super::carrier::{Carrier, May, RepeatWindow, Sent, Wanted};
 use super::tally::Tally;
 use crate::clock::duration;
 use crate::must_hold;
@@ -33,8 +33,9 @@
     values: HashMap<PartId, (i64, String)>,
     /// What these take.
     bytes: usize,
-    /// Its parts that were sent.
+    /// Its parts that were sent, and the windows of those that have one.
     parts: Vec<PartId>,
+    windows: HashMap<PartId, Rc<RepeatWindow>>,
     /// The shards that the first step had in, and whether it was whole.
     first_step: Option<(Rc<[Shard]>, bool)>,
 }
@@ -48,8 +49,9 @@
 
 pub struct Desk {
     searchers: Box<dyn Carrier>,
-    /// Parts of the second step, by op type.
+    /// Parts of the second step, by op type, and for how long repeats of its parts are dropped, if for a time only.
     second_steps: Vec<usize>,
+    windows: Vec<Option<Span>>,
     asked: Rc<Notify>,
     now: Time,
     open: HashMap<MultigetId, Open>,
@@ -74,13 +76,18 @@
 impl Desk {
     pub fn new(
         searchers: Box<dyn Carrier>,
-        second_steps: Vec<usize>,
+        op_types: &[OpType],
         asked: Rc<Notify>,
         most_values: usize,
     ) -> Self {
+        let window = |op: &OpType| match op.repeat {
+            Repeat::Deduped(window) => Some(window),
+            Repeat::Retriable | Repeat::NonRetriable => None,
+        };
         Desk {
             searchers,
-            second_steps,
+            second_steps: op_types.iter().map(|op| op.second_step).collect(),
+            windows: op_types.iter().map(window).collect(),
             asked,
             now: Time::from_micros(0),
             open: HashMap::new(),
@@ -163,6 +170,7 @@
                 values,
                 bytes: 0,
                 parts: Vec::new(),
+                windows: HashMap::new(),
                 first_step: None,
             },
         );
@@ -350,7 +358,20 @@
         let (shard, wait, text) = (part.shard, order.timeout, open.text.clone());
         let call = CallPart { id, shard, wait, first_step, text };
         self.tally.sent(nth);
-        self.departing.push((order.to.clone(), (nth, call, open.wanted.clone())));
+        let wanted = open.wanted.clone();
+        let window = self.windows[multiget.op_type.0].map(|span| {
+            let window = open.windows.entry(part.id.clone());
+            window.or_insert_with(|| Rc::new(RepeatWindow::new(duration(span)))).clone()
+        });
+        if let Some(window) = window.as_ref().filter(|_| part.first_that_may_have_run().is_none()) {
+            window.never_ran();
+        }
+        let may = move || match &window {
+            _ if !wanted() => May::Unwanted,
+            Some(window) => window.may_leave(Instant::now()),
+            None => May::Leave,
+        };
+        self.departing.push((order.to.clone(), (nth, call, Rc::new(may))));
     }
 
     fn withdraw(&mut self, part: &PartId, nth: usize) {
--- a/crates/lockusher-mixer/src/routing/mod.rs
+++ b/crates/lockusher-mixer/src/routing/mod.rs
@@ -96,9 +96,8 @@
         open: Rc<Cell<usize>>,
     ) -> Result<Self> {
         let host = Host::start(clock.now(), config.seed, &config.settings)?;
-        let second_steps = config.settings.op_types().map_err(anyhow::Error::msg)?;
-        let second_steps = second_steps.iter().map(|op| op.second_step).collect();
-        let desk = Desk::new(searchers, second_steps, asked, config.sockets.most_bytes);
+        let op_types = config.settings.op_types().map_err(anyhow::Error::msg)?;
+        let desk = Desk::new(searchers, &op_types, asked, config.sockets.most_bytes);
         let sockets = config.sockets;
         Ok(Router { clock, host, desk, sockets, inlets, can_serve, next_number: 0, open, stopped: false })
     }
--- a/crates/lockusher-mixer/src/transport/carriers.rs
+++ b/crates/lockusher-mixer/src/transport/carriers.rs
@@ -18,7 +18,7 @@
 use crate::config::Sockets;
 use crate::operator::Http2;
 use crate::protocol::frame::CallPart;
-use crate::routing::carrier::{Carrier, Sent, Unsent};
+use crate::routing::carrier::{Carrier, May, Sent, Unsent};
 use crate::routing::{Arrival, SendEnded};
 
 /// Whether an id matches a pattern in which a star stands for any letters.
@@ -48,7 +48,8 @@
     Arrival::Ended(SendEnded { part, nth, outcome, at, answer })
 }
 
-fn handed((nth, part, wanted): Sent) -> H2Sent {
+fn handed((nth, part, may): Sent) -> H2Sent {
+    let wanted = Rc::new(move || matches!(may(), May::Leave | May::LeaveBy(_)));
     let CallPart { id, shard, wait, first_step, text } = part;
     let first_step = first_step.map(|(shards, whole)| (shards.to_vec(), whole));
     H2Sent { nth, part: wire::Part { id, shard, wait, first_step, text }, wanted }
@@ -57,7 +58,8 @@
 fn handed_back(sent: H2Sent) -> Sent {
     let wire::Part { id, shard, wait, first_step, text } = sent.part;
     let first_step = first_step.map(|(shards, whole)| (shards.into(), whole));
-    (sent.nth, CallPart { id, shard, wait, first_step, text }, sent.wanted)
+    let may = move || if (sent.wanted)() { May::Leave } else { May::Unwanted };
+    (sent.nth, CallPart { id, shard, wait, first_step, text }, Rc::new(may))
 }
 
 impl Carriers {
--- a/crates/lockusher-mixer/src/transport/searchers.rs
+++ b/crates/lockusher-mixer/src/transport/searchers.rs
@@ -19,7 +19,7 @@
 use crate::config::Sockets;
 use crate::must_hold;
 use crate::protocol::frame::{self, FromSearcher, PartEnded};
-use crate::routing::carrier::{Carrier, Sent, Unsent};
+use crate::routing::carrier::{Carrier, May, Sent, Unsent};
 use crate::routing::{Arrival, SendEnded};
 
 /// All connections to searchers, by searcher: frames over TCP, each carrying a few calls.
@@ -452,7 +452,7 @@
         tokio::pin!(read);
         let ended = tokio::select! {
             ended = &mut read => ended,
-            ended = self.write(FramedWrite::new(writer, frame::codec())) => {
+            ended = self.write(FramedWrite::new(writer, frame::codec()), queue) => {
                 // Answers that came before the break still count.
                 self.state.set(State::Retired);
                 let _ = tokio::time::timeout(duration(sockets.connect_timeout), &mut read).await;
@@ -484,6 +484,7 @@
     async fn write<W: AsyncWrite + Unpin>(
         &self,
         mut frames: FramedWrite<W, LengthDelimitedCodec>,
+        queue: &mpsc::Sender<Arrival>,
     ) -> std::io::Result<()> {
         loop {
             let Some(outgoing) = self.outbox.borrow_mut().pop_front() else {
@@ -492,8 +493,25 @@
             };
             match outgoing {
                 Outgoing::Call(mut parts) => {
-                    // What nobody waits for any more stays here until the router gives it up.
-                    parts.retain(|(.., wanted)| wanted());
+                    let (mut by, mut late) = (None::<Instant>, Vec::new());
+                    parts.retain(|(_, part, may)| match may() {
+                        May::Leave => true,
+                        May::LeaveBy(at) => {
+                            by = Some(by.map_or(at, |by| by.min(at)));
+                            true
+                        }
+                        // What nobody waits for any more stays here until the router gives it up.
+                        May::Unwanted => false,
+                        May::Late => {
+                            late.push(part.id.clone());
+                            false
+                        }
+                    });
+                    for part in late {
+                        if let Some(out) = self.end(&part) {
+                            let _ = queue.send(came_to(part, out.nth, Outcome::Moot)).await;
+                        }
+                    }
                     if parts.is_empty() {
                         continue;
                     }
@@ -505,7 +523,14 @@
                         }
                     };
                     now(Way::Writing);
-                    frames.send(frame::call(parts.iter().map(|(_, part, _)| part))).await?;
+                    let written = frames.send(frame::call(parts.iter().map(|(_, part, _)| part)));
+                    match by {
+                        None => written.await?,
+                        // Half of it must not be followed by the rest once its window has passed.
+                        Some(by) => tokio::time::timeout_at(by.into(), written)
+                            .await
+                            .map_err(|_| std::io::Error::other("a repeat is stuck past its window"))??,
+                    }
                     now(Way::Written);
                 }
                 Outgoing::GivenUp(part) => frames.send(frame::given_up(&part)).await?,
--- a/crates/lockusher-mixer/tests/endings.rs
+++ b/crates/lockusher-mixer/tests/endings.rs
@@ -1,12 +1,21 @@
 //! Rare moments: what ends while something is still owed. Each story holds one side until the mixer is seen at the
 //! point in question, and then lets the other happen. `docs/endings.md` lists them.
 
+mod connections;
+
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
+use connections::{call, on_connections, up};
+use lockusher::interface::*;
+use lockusher_host::list::Place;
 use lockusher_lab::stand_in::*;
+use lockusher_mixer::protocol::frame::CallPart;
+use lockusher_mixer::routing::Arrival;
+use lockusher_mixer::routing::carrier::{Carrier, May, RepeatWindow};
 use lockusher_mixer::transport::client_stream::{ClientStream, Connections};
 use lockusher_mixer::transport::clients;
 use rstest::rstest;
@@ -308,3 +317,116 @@
         assert_eq!(read.filled(), b"POST");
     });
 }
+
+/// A repeat of a deduped part waits for its connection until the window in which it would be dropped has passed: it
+/// must not leave any more, and what nothing more can come of is answered at once. It left once the connection came up.
+#[rstest]
+fn a_repeat_never_leaves_after_its_window() {
+    let (slow, unclog) = Searcher::clogged("s9");
+    let window_ms = 800;
+    let setup = Setup { searchers: 1, connect_ms: 10_000, effect: "keyed", window_ms, ..Setup::default() };
+    let world = World::start(setup);
+    let own = &world.searchers[0];
+    world.discovery.tell(2, true, vec![line(own, 0, "active")]);
+    world.discovery.told(2);
+    own.does(|_| Act::Held);
+    let mut client = world.client();
+    client.write(&request("q1", &body(&[3])));
+    own.until(|log| log.parts.len() == 1);
+    let first = own.log().parts[0].at;
+    world.discovery.tell(3, true, vec![line(own, 0, "active"), line(&slow, 1, "active")]);
+    world.discovery.told(3);
+    own.answers_held(Act::Bad);
+    world.until(|| first.elapsed() > Duration::from_millis(window_ms));
+    unclog();
+    assert_eq!(client.read().expect("an answer").status, 500);
+    // Another's part takes the same way.
+    world.discovery.tell(4, true, vec![line(own, 0, "leaving"), line(&slow, 1, "active")]);
+    world.discovery.told(4);
+    assert_eq!(world.client().ask("q2", &[3]).status, 200);
+    assert!(slow.log().parts.iter().all(|part| part.id == "q2.3"), "{:?}", slow.log().parts);
+}
+
+/// The window runs from the first byte of whichever of its sends leaves first, and begins anew where none can have run.
+#[rstest]
+fn a_window_runs_from_the_first_send_that_leaves() {
+    let (window, began) = (RepeatWindow::new(Duration::from_millis(200)), Instant::now());
+    let after = |ms| began + Duration::from_millis(ms);
+    assert_eq!(window.may_leave(after(500)), May::Leave);
+    assert_eq!(window.may_leave(after(600)), May::LeaveBy(after(700)));
+    assert_eq!(window.may_leave(after(700)), May::Late);
+    window.never_ran();
+    assert_eq!(window.may_leave(after(900)), May::Leave);
+    assert_eq!(window.may_leave(after(901)), May::LeaveBy(after(1_100)));
+}
+
+/// A repeat whose frame is stuck half written as its window ends is broken off: it never arrives whole.
+#[rstest]
+fn a_repeat_that_is_stuck_half_written_is_broken_off_with_its_window() {
+    on_connections(Setup::default(), async move |searcher, searchers, arrivals| {
+        searcher.reads(false);
+        let (to, id) = (SearcherId::new("s0"), PartId::new("q.1"));
+        let by = Instant::now() + Duration::from_millis(200);
+        // More than the system holds between two ends.
+        let text = vec![b'x'; 16 << 20].into();
+        let part = CallPart { id, shard: Shard(1), wait: Span::from_millis(4_000), first_step: None, text };
+        assert!(searchers.send(&to, vec![(1, part, Rc::new(move || May::LeaveBy(by)))]).is_ok());
+        let arrival = tokio::time::timeout(LONG, arrivals.recv()).await.expect("it is broken off");
+        assert!(matches!(arrival, Some(Arrival::Ended(ended)) if ended.outcome == Outcome::NoConnection));
+        searcher.reads(true);
+        searcher.until(|log| log.closed == 1);
+        assert!(searcher.log().parts.is_empty());
+    });
+}
+
+/// What becomes of a part whose connection ends at each point of its way: known never to have run until its last byte
+/// was written, maybe run from then on. A connection that comes up late or never, is refused, or is reset long after.
+#[rstest]
+fn known_never_ran_and_may_have_run_are_told_apart() {
+    on_connections(
+        Setup { connect_ms: 300, ..Setup::default() },
+        async move |searcher, searchers, arrivals| {
+            let (to, slow, nobody) = (SearcherId::new("s0"), SearcherId::new("s1"), SearcherId::new("s2"));
+            let ended =
+                async |arrivals: &mut tokio::sync::mpsc::Receiver<Arrival>| match arrivals.recv().await {
+                    Some(Arrival::Ended(ended)) => ended.outcome,
+                    _ => panic!("an end"),
+                };
+            // Nobody listens; the connection does not come up in time.
+            let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("one");
+            searchers.at(&up("s2"), Place { address: port, http2: false });
+            assert!(searchers.send(&nobody, call(1)).is_ok());
+            assert_eq!(ended(arrivals).await, Outcome::NoConnection);
+            let (clogged, unclog) =
+                std::thread::spawn(|| Searcher::clogged("s1")).join().expect("a searcher");
+            searchers.at(&up("s1"), Place { address: clogged.address, http2: false });
+            assert!(searchers.send(&slow, call(2)).is_ok());
+            assert_eq!(ended(arrivals).await, Outcome::NoConnection);
+            // It comes up after all: nothing arrives on it, nor on one that follows, but what is sent then.
+            unclog();
+            let mut sent = 3;
+            while {
+                assert!(searchers.send(&slow, call(sent)).is_ok());
+                ended(arrivals).await != Outcome::Returned
+            } {
+                sent += 1;
+            }
+            let came: Vec<String> = clogged.log().parts.into_iter().map(|part| part.id).collect();
+            assert_eq!(came, [format!("q.{sent}")]);
+            // Reset once the frame is whole, at once and with half an answer.
+            for act in [Act::Break, Act::HalfAnswer] {
+                searcher.does(move |_| act);
+                assert!(searchers.send(&to, call(4)).is_ok());
+                assert_eq!(ended(arrivals).await, Outcome::Broken, "{act:?}");
+            }
+            // Reset long after, with the answer held.
+            searcher.does(|_| Act::Held);
+            assert!(searchers.send(&to, call(5)).is_ok());
+            while searcher.log().parts.len() < 3 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            searcher.answers_held(Act::Break);
+            assert_eq!(ended(arrivals).await, Outcome::Broken);
+        },
+    );
+}
--- a/crates/lockusher-mixer/tests/stories.rs
+++ b/crates/lockusher-mixer/tests/stories.rs
@@ -1,19 +1,19 @@
 //! The mixer as its clients, searchers and discovery meet it.
 
+mod connections;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use connections::{call, on_connections, up};
 use lockusher::interface::*;
 use lockusher_host::list::Place;
 use lockusher_lab::stand_in::*;
-use lockusher_mixer::config;
-use lockusher_mixer::protocol::frame::CallPart;
 use lockusher_mixer::routing::Arrival;
-use lockusher_mixer::routing::carrier::{Carrier, Sent, Wanted};
-use lockusher_mixer::transport::searchers::Searchers;
+use lockusher_mixer::routing::carrier::{Carrier, May};
 use rstest::rstest;
 use serde_json::json;
 
@@ -237,7 +237,7 @@
     on_connections(Setup::default(), async move |searcher, searchers, arrivals| {
         let to = SearcherId::new("s0");
         let unwanted =
-            call(1).into_iter().map(|(nth, part, _)| (nth, part, Rc::new(|| false) as Wanted)).collect();
+            call(1).into_iter().map(|(nth, part, _)| (nth, part, Rc::new(|| May::Unwanted) as _)).collect();
         assert!(searchers.send(&to, unwanted).is_ok() && searchers.send(&to, call(2)).is_ok());
         assert!(matches!(arrivals.recv().await, Some(Arrival::Ended(e)) if e.part.as_str() == "q.2"));
         assert!(searchers.recall(&to, &PartId::new("q.1"), 0), "it can be taken back");
@@ -733,36 +733,3 @@
         assert_eq!(came, ["q.1"]);
     });
 }
-
-/// A part as the router hands it over, by its shard.
-fn call(shard: usize) -> Vec<Sent> {
-    let (id, wait) = (PartId::new(&format!("q.{shard}")), Span::from_millis(4_000));
-    vec![(
-        0,
-        CallPart { id, shard: Shard(shard), wait, first_step: None, text: "x".into() },
-        Rc::new(|| true),
-    )]
-}
-
-/// A line of the list for a searcher that is up.
-fn up(id: &str) -> Listed {
-    let (id, state) = (SearcherId::new(id), SearcherState::Up);
-    Listed { id, cell: Cell(0), zone: None, state, up_since: None, rating: 1.0 }
-}
-
-/// Connections to one searcher without a router.
-fn on_connections(
-    setup: Setup,
-    story: impl AsyncFnOnce(&Searcher, &mut Searchers, &mut tokio::sync::mpsc::Receiver<Arrival>),
-) {
-    let searcher = Searcher::start("s0");
-    let text = json!({ "name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-        "limits": { "sockets": setup.sockets }, "settings": settings(&setup) });
-    let sockets = config::parse(&text.to_string(), |_| None).expect("a configuration").sockets;
-    actix_rt::System::new().block_on(async {
-        let (queue, mut arrivals) = tokio::sync::mpsc::channel(8);
-        let mut searchers = Searchers::new(sockets, queue, Rc::default());
-        searchers.at(&up("s0"), Place { address: searcher.address, http2: false });
-        story(&searcher, &mut searchers, &mut arrivals).await;
-    });
-}
