No default hides a missing setting; it serves on settings unlike the example in every name and figure

Change: each is asked for, and its absence is one error that names the key. Tests: seven more cases of a faulty key; a mixer on settings that share no name and no number with examples/config.json, with two other op types, effects, tenants, zones, and lists on request; six restarts that are ready in time whatever discovery does.

--- a/crates/lockusher-mixer/src/config.rs
+++ b/crates/lockusher-mixer/src/config.rs
@@ -138,16 +138,15 @@
     ensure!(memory >= LEAST_MEMORY_MB, "limits.memory_mb: {memory} is less than {LEAST_MEMORY_MB}");
     let (limits, extra) = (&settings.limits, &settings.extra);
     ensure!(settings.layout().cells > 0, "settings.extra.cells: must not be 0");
-    let span = |key: &str, value: Option<u64>, default: Span| match value {
-        Some(0) => bail!("settings.limits.{key}: must not be 0"),
-        value => Ok(value.map_or(default, Span::from_micros)),
-    };
-    let count = |key: &str, value: Option<usize>, default: usize| match value {
+    let given = |key: &str, value: Option<u64>| match value {
+        None => bail!("settings.{key}: missing"),
         Some(0) => bail!("settings.{key}: must not be 0"),
-        value => Ok(value.unwrap_or(default)),
+        Some(value) => Ok(value),
     };
-    let connect_timeout = span("connect_timeout_us", limits.connect_timeout_us, Span::from_millis(250))?;
-    let idle = span("conn_idle_us", limits.conn_idle_us, Span::from_millis(15_000))?;
+    let span = |key: &str, value: Option<u64>| given(key, value).map(Span::from_micros);
+    let count = |key: &str, value: Option<usize>| anyhow::Ok(given(key, value.map(|v| v as u64))? as usize);
+    let connect_timeout = span("limits.connect_timeout_us", limits.connect_timeout_us)?;
+    let idle = span("limits.conn_idle_us", limits.conn_idle_us)?;
     // What is sent as a searcher closes is lost: no connection is used when that close may be under way.
     let idle = idle.saturating_sub(connect_timeout).max(idle.times(0.5));
     let most_searchers = descriptors / 4;
@@ -160,11 +159,11 @@
         most_searchers,
         connect_timeout,
         idle,
-        most_calls: count("limits.max_streams", limits.max_streams, 32)?,
-        most_parts: count("extra.bundle_max", extra.bundle_max, 1)?,
-        most_open: count("limits.max_open", limits.max_open, 1_024)?,
+        most_calls: count("limits.max_streams", limits.max_streams)?,
+        most_parts: count("extra.bundle_max", extra.bundle_max)?,
+        most_open: count("limits.max_open", limits.max_open)?,
         most_bytes: memory * 1024 * 1024 / 8,
-        shards: count("extra.slices", extra.slices, usize::MAX)?,
+        shards: count("extra.slices", extra.slices)?,
         may_withdraw: limits.may_cancel,
         may_probe: limits.probes,
         longest,
--- a/crates/lockusher-mixer/tests/codecs.rs
+++ b/crates/lockusher-mixer/tests/codecs.rs
@@ -95,8 +95,9 @@
             "balancers": 1, "rank": 0, "tick_us": 5000, "localities": ["here"], "locality": "here",
             "membership_mode": "pushed", "prices": {},
             "grades": [{ "name": "look", "promise_us": 1, "deadline_us": 2, "effect": "safe", "worth": 1.0 }],
-            "extra": { "cells": 3, "in_a_row": 3, "least_share": [1.0], "need_by_class": [1.0] },
-            "limits": { "max_attempts": 3 },
+            "extra": { "cells": 3, "in_a_row": 3, "least_share": [1.0], "need_by_class": [1.0], "slices": 6,
+                "bundle_max": 1 },
+            "limits": { "max_attempts": 3, "max_open": 9, "max_streams": 8, "conn_idle_us": 7, "connect_timeout_us": 6 },
             "rules": { "cold_from": 0.2, "ramp_time_us": 9, "fall_multiple": 3.0, "tip_after_us": 1 },
         },
     })
@@ -112,6 +113,13 @@
 #[case::too_few_sockets("/limits", json!({ "sockets": 10 }), "limits.sockets: 10 is less than 64")]
 #[case::too_little_memory("/limits", json!({ "memory_mb": 8 }), "limits.memory_mb: 8 is less than 16")]
 #[case::no_calls("/settings/limits/max_streams", json!(0), "settings.limits.max_streams: must not be 0")]
+#[case::no_rank("/settings/rank", json!(null), "settings.rank: invalid type")]
+#[case::connect_timeout("/settings/limits/connect_timeout_us", json!(null), "settings.limits.connect_timeout_us: missing")]
+#[case::idle_time("/settings/limits/conn_idle_us", json!(null), "settings.limits.conn_idle_us: missing")]
+#[case::calls_on_a_connection("/settings/limits/max_streams", json!(null), "settings.limits.max_streams: missing")]
+#[case::multigets_in_hand("/settings/limits/max_open", json!(null), "settings.limits.max_open: missing")]
+#[case::parts_in_a_call("/settings/extra/bundle_max", json!(null), "settings.extra.bundle_max: missing")]
+#[case::shards("/settings/extra/slices", json!(null), "settings.extra.slices: missing")]
 #[case::too_short_a_list("/settings/extra/least_share", json!([]), "extra.least_share has no entry for class 0")]
 #[case::no_cells("/settings/extra/cells", json!(0), "settings.extra.cells: must not be 0")]
 #[case::a_list_that_is_none("/known", json!({ "index": -1 }), "known.index: invalid value")]
--- a/crates/lockusher-mixer/tests/endings.rs
+++ b/crates/lockusher-mixer/tests/endings.rs
@@ -19,7 +19,7 @@
 use lockusher_mixer::transport::client_stream::{ClientStream, Connections};
 use lockusher_mixer::transport::clients;
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncRead, ReadBuf};
 
 /// A change counts as told so long after discovery had it and could be reached, whatever failed before.
@@ -491,3 +491,124 @@
         );
     }
 }
+
+/// All names and numbers, each with its place.
+fn leaves(at: &str, value: &Value, into: &mut Vec<(String, Value)>) {
+    match value {
+        Value::Object(all) => all.iter().for_each(|(key, value)| leaves(&format!("{at}/{key}"), value, into)),
+        Value::Array(all) => {
+            all.iter().enumerate().for_each(|(i, value)| leaves(&format!("{at}/{i}"), value, into))
+        }
+        Value::Number(_) | Value::String(_) => into.push((at.to_owned(), value.clone())),
+        _ => {}
+    }
+}
+
+/// Another customer's settings: every name and figure of the example differs, and so does what they allow. Nothing of
+/// the example holds here, and the mixer serves.
+#[rstest]
+fn it_serves_on_settings_that_have_nothing_in_common_with_the_example() {
+    let example: Value =
+        serde_json::from_str(include_str!("../../../examples/config.json")).expect("the example");
+    let searchers: Vec<_> = (0..2).map(|i| Searcher::start(&format!("z{i}"))).collect();
+    let lines = || -> Vec<Value> {
+        let line = |(group, s): (usize, &std::sync::Arc<Searcher>)| {
+            let mut line = line(s, group, "active");
+            line["zone"] = ["p", "q"][group].into();
+            line
+        };
+        searchers.iter().enumerate().map(line).collect()
+    };
+    let discovery = Discovery::start(lines());
+    let config = json!({
+        "name": "other-7", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "1d",
+        "limits": { "sockets": 300, "memory_mb": 48 },
+        "settings": {
+            "balancers": 9, "rank": 4, "tick_us": 2_000, "localities": ["p", "q"], "locality": "q",
+            "membership_mode": "on_request",
+            "grades": [
+                { "name": "tally", "promise_us": 900_000, "deadline_us": 1_700_000, "effect": "unsafe", "worth": 3.5,
+                    "late_value": 0.25 },
+                { "name": "scan", "promise_us": 700_000, "deadline_us": 1_100_000, "effect": "keyed", "worth": 0.5,
+                    "dedup_window_us": 150_000 },
+            ],
+            "parties": [{ "name": "zed", "quota_per_s": 7.0 }, { "name": "yod", "quota_per_s": 3.0 }],
+            "prices": { "cross_zone": 0.3 },
+            "extra": { "cells": 2, "in_a_row": 1, "slices": 6, "bundle_max": 4, "need_by_class": [0.9, 0.8],
+                "least_share": [0.7, 0.6], "class_partial": [0.2, 0.1], "fetch_parts": [1, 2] },
+            "limits": { "max_attempts": 2, "parallel_tries": false, "may_cancel": false, "retry_after": false,
+                "max_retry_after_us": 100_000, "max_open": 70, "max_streams": 3, "conn_idle_us": 900_000,
+                "connect_timeout_us": 80_000 },
+            "rules": { "cold_from": 0.6, "ramp_time_us": 400_000, "fall_multiple": 1.5, "tip_after_us": 300_000,
+                "ask_every_us": 900_000, "look_back_us": 5_000_000, "spare_attempts": 1.0, "extra_ratio": 0.1 },
+        },
+    });
+    let (mut theirs, mut ours) = (Vec::new(), Vec::new());
+    leaves("", &example, &mut theirs);
+    leaves("", &config, &mut ours);
+    let same: Vec<_> = theirs.iter().filter(|leaf| ours.contains(leaf)).collect();
+    assert!(same.is_empty(), "as in the example: {same:?}");
+    let mixer = Mixer::start(&config, None, false);
+    until(|| mixer.get("/up").status == 200);
+    let ask = |op_type: &str, tenant: &str, id: &str, shards: &[usize]| {
+        let request = String::from_utf8(request_of(op_type, id, &body(shards))).expect("text");
+        let mut client = mixer.client();
+        client.write(request.replace("Req-Owner: acme", &format!("Req-Owner: {tenant}")).as_bytes());
+        client.read().expect("an answer")
+    };
+    // Second steps of one and of two parts, at their own holders.
+    assert_eq!(ask("tally", "zed", "a", &[0, 1, 2]).values().len(), 1);
+    assert_eq!(ask("scan", "yod", "b", &[3, 4, 5]).values().len(), 2);
+    for searcher in &searchers {
+        let group = usize::from(searcher.name == "z1");
+        assert!(
+            searcher.log().parts.iter().all(|part| part.shard % 2 == group),
+            "{:?}",
+            searcher.log().parts
+        );
+    }
+    // What the example names is not known here, nor is a shard beyond these.
+    assert_eq!(ask("lookup", "zed", "c", &[0]).status, 404);
+    assert_eq!(ask("tally", "acme", "d", &[0]).status, 400);
+    assert_eq!(ask("tally", "zed", "e", &[6]).status, 400);
+    discovery.tell(2, true, lines());
+    discovery.told(2);
+}
+
+/// A mixer that starts again is ready at once by the list it held, whatever discovery does, and with many searchers.
+#[rstest]
+#[case::discovery_is_up(Some(Says::Lists), 3)]
+#[case::with_200_searchers(Some(Says::Lists), 200)]
+#[case::discovery_says_nothing(Some(Says::Nothing), 3)]
+#[case::discovery_errs(Some(Says::Errors), 200)]
+#[case::discovery_is_slow(Some(Says::Late(Duration::from_millis(1_500))), 200)]
+#[case::discovery_is_down(None, 200)]
+fn a_mixer_that_starts_again_is_ready_in_time(#[case] says: Option<Says>, #[case] searchers: usize) {
+    let one = Searcher::start("s");
+    let lines: Vec<Value> = (0..searchers)
+        .map(|i| {
+            let mut line = line(&one, i % 3, "active");
+            line["name"] = format!("s{i}").into();
+            line
+        })
+        .collect();
+    let discovery = Discovery::start(lines.clone());
+    match says {
+        Some(says) => discovery.says(says),
+        None => discovery.goes_down(),
+    }
+    let setup = Setup::default();
+    let config = json!({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.address, "seed": "5eed",
+        "limits": { "sockets": setup.sockets, "memory_mb": setup.memory_mb }, "settings": settings(&setup),
+        "known": { "index": 1, "snapshot": true, "endpoints": lines },
+    });
+    let began = Instant::now();
+    let mixer = Mixer::start(&config, None, false);
+    until(|| mixer.get("/up").status == 200);
+    assert!(began.elapsed() < Duration::from_secs(10), "ready after {:?}", began.elapsed());
+    let mut client = mixer.client();
+    for i in 0..20 {
+        assert_eq!(client.ask(&format!("q{i}"), &[1, 2, 3]).status, 200);
+    }
+}
