--- a/crates/lockusher-mixer/tests/endings.rs
+++ b/crates/lockusher-mixer/tests/endings.rs
@@ -612,3 +612,43 @@
         assert_eq!(client.ask(&format!("q{i}"), &[1, 2, 3]).status, 200);
     }
 }
+
+/// Clients send on every connection that stays open until the process is gone, while one of three searchers hangs: what
+/// was sent on for gets its one final answer, and what got none was never sent on.
+#[rstest]
+#[case::usual_deadlines(5_000)]
+#[case::short_deadlines(400)]
+fn requests_that_arrive_until_the_end_are_answered_or_never_sent_on(#[case] deadline_ms: u64) {
+    let mut world = World::start(Setup { deadline_ms, ..Setup::default() });
+    world.searchers[0].does(|_| Act::Silent);
+    let clients: Vec<Client> = (0..8).map(|_| world.client()).collect();
+    let senders: Vec<_> = clients
+        .into_iter()
+        .enumerate()
+        .map(|(nth, mut client)| {
+            std::thread::spawn(move || {
+                for i in 0.. {
+                    let id = format!("c{nth}n{i}");
+                    if !client.try_write(&request(&id, &body(&[1, 2]))) {
+                        return Some(id);
+                    }
+                    match client.read() {
+                        None => return Some(id),
+                        Some(answer) if answer.headers.get("connection").is_some_and(|c| c == "close") => {
+                            return None;
+                        }
+                        Some(_) => {}
+                    }
+                }
+                None
+            })
+        })
+        .collect();
+    world.until(|| world.sends("c").len() > 20);
+    world.terminate();
+    let unanswered: Vec<String> = senders.into_iter().filter_map(|s| s.join().expect("a client")).collect();
+    assert!(world.ended().success());
+    for id in unanswered {
+        assert!(world.sends(&format!("{id}.")).is_empty(), "{id} was sent on and got no answer");
+    }
+}
