--- a/crates/lockusher/src/policy.rs
+++ b/crates/lockusher/src/policy.rs
@@ -16,7 +16,8 @@
 /// What is known of one searcher; nothing about it is kept anywhere else.
 struct Searcher {
     listed: Listed,
-    /// When this mixer learned of its present life, and when it began to warm up, by the list or by its symptoms.
+    /// When this mixer learned of its present life, and when it began to warm up, by the list or by its
+    /// symptoms.
     told_at: Time,
     cold_since: Option<Time>,
     /// This mixer's sends out at it: when each left, what its work adds to a usual part's seconds, and
@@ -119,8 +120,8 @@
     fn learned(&self, now: Time, peers: f64) -> (f64, f64, f64) {
         let memory = if self.out.is_empty() { half_in(MEMORY, now.since(self.heard)) } else { 1.0 };
         let latency = self.latency.unwrap_or(peers);
-        // What others saw since this mixer heard from it stands in, and fades unless they see it again: then it is
-        // tried. Own outcomes win as soon as they are newer.
+        // What others saw since this mixer heard from it stands in, and fades unless they see it again: then
+        // it is tried. Own outcomes win as soon as they are newer.
         let said = self.told.as_ref().filter(|said| said.at > self.heard);
         let (told, good, slower) =
             said.map_or((0.0, 1.0, 1.0), |said| (half_in(FADES, now.since(said.at)), said.good, said.slower));
@@ -159,8 +160,8 @@
     /// Sends that came to nothing: on connections not used for a while, and others.
     reaped: Lost,
     lost: Lost,
-    /// Parts of usual weight that a warm searcher returns here, over some seconds, to ride over bursts; and what that
-    /// was when one last did.
+    /// Parts of usual weight that a warm searcher returns here, over some seconds, to ride over bursts; and
+    /// what that was when one last did.
     flow: Rate<3>,
     flowed: f64,
     /// What may be spent of what the whole fleet may, where that is shared.
@@ -236,8 +237,8 @@
         self.survey(now);
     }
 
-    /// What the fleet's mixers agree on counts where nothing newer was seen here: never against the last holder of a
-    /// shard, and not at all if half of the searchers are accused, as then it is those who look.
+    /// What the fleet's mixers agree on counts where nothing newer was seen here: never against the last
+    /// holder of a shard, and not at all if half of the searchers are accused, as then it is those who look.
     fn judged(&mut self, mut judged: Vec<Judged>) {
         self.searchers.values_mut().for_each(|s| s.told = None);
         let up = |s: &&Searcher| s.listed.state == SearcherState::Up;
@@ -277,7 +278,8 @@
         const ENOUGH: usize = 3; // Fewer tell little of a zone.
         let up = || self.searchers.values().filter(|s| s.listed.state == SearcherState::Up);
         self.fleet.warm = up().filter(|s| s.capacity(now, &self.cold) >= 1.0).count();
-        // Of a fleet replaced all at once none was heard from yet; what its like took says more than a budget.
+        // Of a fleet replaced all at once none was heard from yet; what its like took says more than a
+        // budget.
         let middle = lowest(2, &mut up().filter_map(|s| s.latency).collect::<Vec<_>>());
         self.fleet.middle = middle.or(self.fleet.middle);
         let mut zones = BTreeMap::<_, Vec<f64>>::new();
@@ -314,8 +316,8 @@
         if capacity < 1.0 { Span::from_secs(1.0 / allowed) } else { Span::ZERO }
     }
 
-    /// Notes a part that came back. It counts by how many are warm as it does: many may leave at once, and what all of
-    /// them returned is not what the few that stay can do.
+    /// Notes a part that came back. It counts by how many are warm as it does: many may leave at once, and
+    /// what all of them returned is not what the few that stay can do.
     fn returned(&mut self, now: Time, from: &SearcherId, weight: f64) {
         let warm = |s: &Searcher| s.listed.state == SearcherState::Up && s.capacity(now, &self.cold) >= 1.0;
         if self.fleet.warm > 0 && self.searchers.get(from).is_some_and(warm) {
@@ -324,9 +326,9 @@
         }
     }
 
-    /// How much longer a cold searcher gets nothing: the gap since the last send; before the first one this mixer's
-    /// part of the gap, as all are told at once, and one part each would be too much from many. The mixers' turns
-    /// are spread over the gap by their rank, and begin elsewhere for each searcher.
+    /// How much longer a cold searcher gets nothing: the gap since the last send; before the first one this
+    /// mixer's part of the gap, as all are told at once, and one part each would be too much from many. The
+    /// mixers' turns are spread over the gap by their rank, and begin elsewhere for each searcher.
     fn turn_in(&self, now: Time, id: &SearcherId, searcher: &Searcher, gap: Span) -> Span {
         let Some(sent) = searcher.sent_at else {
             let fnv = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(16_777_619);
