--- a/crates/lockusher-control/src/lib.rs
+++ b/crates/lockusher-control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod replica;
 pub mod serve;
 pub mod shell;
+#[cfg(feature = "simulation")]
 pub mod simulation;
 pub mod stage_planner;
 pub mod state;
--- a/crates/lockusher-control/src/planner.rs
+++ b/crates/lockusher-control/src/planner.rs
@@ -27,7 +27,7 @@
     pub joiners: Vec<Joiner>,
     /// Voters that can't be reached now, the longest silent first.
     pub unreachable: Vec<Identity>,
-    /// Those of them that have been silent long enough to be removed.
+    /// Voters that announced their end or have been silent long enough to be removed.
     pub removable: Vec<Identity>,
     /// The epoch must end although its chain is well.
     pub renew: bool,
--- a/crates/lockusher-control/src/replica.rs
+++ b/crates/lockusher-control/src/replica.rs
@@ -24,6 +24,7 @@
 mod confirmation;
 mod head;
 mod membership;
+mod mistake;
 mod persistence;
 mod recovery;
 mod repair;
@@ -32,6 +33,7 @@
 
 use agreement::Proposal;
 use head::Head;
+pub use mistake::Mistake;
 pub use repair::DiskComparison;
 use requests::Requests;
 
@@ -146,15 +148,6 @@
     pub persist_failures: u64,
 }
 
-/// A mistake put in on purpose, so that tests can show that the simulation finds it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Mistake {
-    /// The head acknowledges what it alone holds.
-    AcknowledgeBeforeTail,
-    /// A seed that lost its disk takes its former identity.
-    VoteAfterWipe,
-}
-
 /// The state machine of one control node.
 #[derive(Debug)]
 pub struct Replica {
@@ -210,6 +203,7 @@
     }
 
     /// A replica that makes a mistake, for tests of the simulation.
+    #[cfg(feature = "simulation")]
     pub fn with_mistake(
         setup: ReplicaSetup,
         recovered: Vec<DurableRecord>,
@@ -280,10 +274,12 @@
 
     /// Whether the newest view is on disk, so that this node may act in it.
     fn is_established_in_view(&self) -> bool {
-        self.view.is_some() && self.durable_epoch == self.epoch()
+        let durable = self.durable_epoch == self.epoch() || self.makes(Mistake::ActBeforeViewDurable);
+        self.view.is_some() && durable
     }
 
     fn message(&self, body: MessageBody) -> Message {
+        let body = self.mistaken_body(body);
         Message { sender: self.identity, epoch: self.epoch(), body }
     }
 
@@ -310,6 +306,10 @@
     /// Sends this once all votes cast so far are durable.
     fn send_after_votes(&mut self, to: SocketAddrV4, body: MessageBody) {
         let message = self.message(body);
+        if self.makes(Mistake::VoteAnsweredBeforeDurable) {
+            self.send_message(to, message);
+            return;
+        }
         if let Some(after) = self.vote_log.wait(AfterVote::Send { to, message }) {
             self.after_vote(after);
         }
--- a/crates/lockusher-control/src/replica/agreement.rs
+++ b/crates/lockusher-control/src/replica/agreement.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::Replica;
+use super::{Mistake, Replica};
 use crate::{
     DurableRecord, Identity, Millis, Position, View,
     attempt::Attempt,
@@ -44,12 +44,14 @@
     // Voter
 
     pub(super) fn on_prepare(&mut self, from: SocketAddrV4, ballot: Ballot) {
-        if !self.is_voter() {
+        if !self.may_vote() {
             return;
         }
         self.highest_round = self.highest_round.max(ballot.round);
         let is_new = ballot > self.votes.promised;
-        if let Err(promised) = self.votes.prepare(ballot) {
+        if let Err(promised) = self.votes.prepare(ballot)
+            && !self.makes(Mistake::LowerBallotAccepted)
+        {
             self.send(from, MessageBody::Rejected { promised });
             return;
         }
@@ -63,10 +65,13 @@
 
     pub(super) fn on_accept(&mut self, from: SocketAddrV4, ballot: Ballot, view: View) {
         let epoch = self.epoch();
-        if !self.is_voter() || view.epoch != epoch + 1 {
+        if !self.may_vote() || view.epoch != epoch + 1 {
             return;
         }
         let is_new = self.votes.accepted.as_ref().is_none_or(|accepted| accepted.ballot != ballot);
+        if self.makes(Mistake::LowerBallotAccepted) {
+            self.votes.promised = ballot;
+        }
         if let Err(promised) = self.votes.accept(ballot, view.clone()) {
             self.send(from, MessageBody::Rejected { promised });
             return;
@@ -77,6 +82,10 @@
         self.send_after_votes(from, MessageBody::Accepted { ballot });
     }
 
+    fn may_vote(&self) -> bool {
+        self.is_voter() || (self.makes(Mistake::StrangersCount) && self.view.is_some())
+    }
+
     // Proposer
 
     /// Proposes a view if one is due and it falls to this node.
@@ -143,9 +152,9 @@
         let fit: BTreeSet<Identity> =
             view.chain.iter().copied().filter(|member| self.is_fit(*member)).collect();
         let unreachable = self.unreachable_voters(view);
-        let long_silent = |voter: &&Identity| self.silence_of(view, **voter) >= self.timing.removal;
-        let removable = unreachable.iter().filter(long_silent).copied().collect();
-        planner::plan(&Situation {
+        let removable = self.removable_voters(view, &unreachable);
+        let minimum_voters = 2 * self.setup.tolerated_losses as usize + 1;
+        let situation = Situation {
             view,
             me: self.identity,
             fit,
@@ -155,8 +164,21 @@
             renew: self.renew,
             sealed: self.votes.sealed,
             may_grow: self.may_grow(),
-            minimum_voters: 2 * self.setup.tolerated_losses as usize + 1,
-        })
+            minimum_voters: if self.makes(Mistake::VotersBelowMinimum) { 1 } else { minimum_voters },
+        };
+        self.mistaken_plan(planner::plan(&situation), &situation)
+    }
+
+    /// Voters that announced their end, which may come before they would count as silent, and those silent for long. One
+    /// that is only restarted is taken back; one that is gone must not count when the next disk is lost.
+    fn removable_voters(&self, view: &View, unreachable: &[Identity]) -> Vec<Identity> {
+        let is_leaving = |voter: &&Member| {
+            let peer = self.peers.at(voter.address).filter(|peer| peer.identity == voter.identity);
+            peer.is_some_and(|peer| peer.health == Health::Leaving) && !self.makes(Mistake::DepartedVoterKept)
+        };
+        let leaving = view.voters.iter().filter(is_leaving).map(|voter| voter.identity);
+        let long_silent = |voter: &&Identity| self.silence_of(view, **voter) >= self.timing.removal;
+        leaving.chain(unreachable.iter().filter(long_silent).copied()).collect()
     }
 
     fn silence_of(&self, view: &View, voter: Identity) -> Millis {
@@ -194,13 +216,14 @@
         self.highest_round = self.highest_round.max(self.votes.promised.round) + 1;
         let ballot = Ballot { round: self.highest_round, proposer: self.identity.0 };
         let majority = self.view.as_ref().map_or(usize::MAX, View::majority);
+        let majority = if self.makes(Mistake::AdoptAfterOneAcceptance) { 1 } else { majority };
         let attempt = Attempt::new(ballot, plan.view.clone(), majority);
         let needs_joining = plan.joiners.iter().any(|joiner| !self.joined.contains(&joiner.identity));
         let (now, address) = (self.now, self.setup.address);
         log::debug!("{now} {address}: proposes {plan:?} under round {}", ballot.round);
         self.proposal =
             Some(Proposal { attempt, plan, stage: Stage::Sealing, stage_since: self.now, sent_at: self.now });
-        if needs_joining {
+        if needs_joining && !self.makes(Mistake::JoinersUnfed) {
             self.seal();
             self.continue_join();
         } else {
@@ -220,7 +243,8 @@
     /// Goes on once the sealed state can't change any more.
     pub(super) fn continue_join(&mut self) {
         let sealing = self.proposal.as_ref().is_some_and(|proposal| proposal.stage == Stage::Sealing);
-        if sealing && self.votes.seal_durable && self.holding.pending.is_none() {
+        let sealed = self.votes.seal_durable || self.makes(Mistake::SealNotAwaited);
+        if sealing && sealed && self.holding.pending.is_none() {
             self.enter_stage(Stage::Joining);
         }
     }
@@ -277,7 +301,8 @@
 
     /// A joiner holds the sealed state, or wants it whole.
     pub(super) fn on_join_answer(&mut self, from: SocketAddrV4, joiner: Identity, held: bool) {
-        if !self.votes.seal_durable || self.holding.pending.is_some() {
+        let sealed = self.votes.seal_durable || self.makes(Mistake::SealNotAwaited);
+        if !sealed || self.holding.pending.is_some() {
             return;
         }
         if !held {
@@ -293,10 +318,16 @@
         }
     }
 
+    fn counts_as_voter(&self, sender: Identity) -> bool {
+        let is_voter = self.view.as_ref().is_some_and(|view| view.is_voter(sender));
+        is_voter || self.makes(Mistake::StrangersCount)
+    }
+
     pub(super) fn on_promised(&mut self, sender: Identity, ballot: Ballot, accepted: Option<AcceptedView>) {
-        if !self.view.as_ref().is_some_and(|view| view.is_voter(sender)) {
+        if !self.counts_as_voter(sender) {
             return;
         }
+        let accepted = self.mistaken_report(accepted);
         let Some(proposal) = &mut self.proposal else { return };
         let may_complete = proposal.stage == Stage::Preparing;
         if may_complete && proposal.attempt.on_promised(sender, ballot, accepted) {
@@ -305,7 +336,7 @@
     }
 
     pub(super) fn on_accepted(&mut self, sender: Identity, ballot: Ballot) {
-        if !self.view.as_ref().is_some_and(|view| view.is_voter(sender)) {
+        if !self.counts_as_voter(sender) {
             return;
         }
         let Some(proposal) = &mut self.proposal else { return };
--- a/crates/lockusher-control/src/replica/chain.rs
+++ b/crates/lockusher-control/src/replica/chain.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use super::{Effect, Replica};
+use super::{Effect, Mistake, Replica};
 use crate::{
     Document, DurableRecord, Identity, Position,
     holding::{AfterWrite, Intake},
@@ -14,7 +14,8 @@
     /// Whether this node may take part in the chain of the newest view.
     fn replicates(&self) -> bool {
         let in_chain = self.view.as_ref().is_some_and(|view| view.in_chain(self.identity));
-        in_chain && self.is_established_in_view() && !self.votes.sealed
+        let open = !self.votes.sealed || self.makes(Mistake::EntryAfterSeal);
+        in_chain && self.is_established_in_view() && open
     }
 
     fn is_view_head(&self, identity: Identity) -> bool {
@@ -44,7 +45,7 @@
         }
         if self.already_stands(&transfer) {
             self.answer_transfer(from, transfer.purpose, true);
-        } else if transfer.position >= self.holding.position {
+        } else if transfer.position >= self.holding.position || self.makes(Mistake::OlderTransferTaken) {
             self.take_transfer(from, transfer);
         }
     }
@@ -76,6 +77,11 @@
             Intake::Write(record, state) => {
                 let replaces = matches!(*record, DurableRecord::State { .. });
                 self.counters.repairs += u64::from(replaces && self.holding.state.document().is_some());
+                if purpose == TransferPurpose::Join && self.makes(Mistake::JoinAnsweredBeforeDurable) {
+                    let lineage = transfer.lineage;
+                    let answer = TransferAnswer { purpose, position, lineage, held: true };
+                    self.send(from, MessageBody::TransferAnswer(answer));
+                }
                 self.persist_state(*record, position, state, AfterWrite::Answer { to: from, purpose });
             }
         }
@@ -136,7 +142,8 @@
             return;
         }
         let follows = !synchronised || index == own.index + 1;
-        if !follows || previous != self.holding.state.lineage() {
+        let complete = follows && previous == self.holding.state.lineage();
+        if !complete && !self.makes(Mistake::EntryWithoutPredecessor) {
             log::debug!("lacks what precedes entry {index}, sent by {from}");
             self.send_to_head(MessageBody::Lacks { index });
             return;
@@ -146,6 +153,9 @@
         let position = Position { epoch, index };
         let record = DurableRecord::Entry { position, previous, document: document.clone() };
         let state = self.holding.state.with(document.clone());
+        if self.makes(Mistake::PassOnBeforeDurable) {
+            self.pass_on(index, previous, document.clone(), relay);
+        }
         let then = AfterWrite::PassOn { index, previous, document, relay };
         self.persist_state(record, position, state, then);
     }
@@ -211,7 +221,7 @@
     pub(super) fn on_committed(&mut self, sender: Identity, index: u64, lineage: Lineage) {
         let committed = Position { epoch: self.epoch(), index };
         let same = self.holding.position == committed && self.holding.state.lineage() == lineage;
-        if self.is_view_head(sender) && same {
+        if self.is_view_head(sender) && (same || self.makes(Mistake::CommittedUnchecked)) {
             self.note_own_committed();
         }
     }
--- a/crates/lockusher-control/src/replica/head.rs
+++ b/crates/lockusher-control/src/replica/head.rs
@@ -149,7 +149,9 @@
 
     fn establish_if_complete(&mut self) {
         let (Some(head), Some(view)) = (&mut self.head, &self.view) else { return };
-        if head.established || !view.chain.iter().all(|member| head.synchronised.contains(member)) {
+        let early = self.mistake == Some(Mistake::ServeBeforeSynchronised);
+        let complete = view.chain.iter().all(|member| head.synchronised.contains(member));
+        if head.established || !(complete || early) {
             return;
         }
         head.established = true;
@@ -316,7 +318,8 @@
         in_flight.since = self.now;
         in_flight.send_again_at = self.now + self.timing.retransmit + in_flight.size_allowance();
         let body = in_flight.append(true);
-        if let (Some(successor), false) = (successor, self.votes.sealed) {
+        let open = !self.votes.sealed || self.makes(Mistake::ServeAfterSeal);
+        if let (Some(successor), true) = (successor, open) {
             self.send_to_voter(successor, body);
         }
         self.commit_if_held();
@@ -359,7 +362,8 @@
     /// The committed state, to decide requests by.
     pub(super) fn serving_state(&self) -> Option<&ReplicatedState> {
         let head = self.head.as_ref().filter(|head| head.established)?;
-        (!self.votes.sealed).then_some(&head.base)
+        let open = !self.votes.sealed || self.makes(Mistake::ServeAfterSeal);
+        open.then_some(&head.base)
     }
 }
 
--- a/crates/lockusher-control/src/replica/membership.rs
+++ b/crates/lockusher-control/src/replica/membership.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddrV4};
 
-use super::{Replica, repair::NoticedBy};
+use super::{Mistake, Replica, repair::NoticedBy};
 use crate::{
     DurableRecord, Identity, Message, View,
     message::{Heartbeat, MessageBody},
@@ -17,7 +17,8 @@
             self.peers.heard(from, sender, epoch, self.now);
             self.exchange_views(from, epoch, &body);
         }
-        let same_epoch = epoch == self.epoch() && epoch > 0;
+        let counts = epoch == self.epoch() || (self.makes(Mistake::OlderEpochsCount) && epoch < self.epoch());
+        let same_epoch = counts && epoch > 0;
         match body {
             MessageBody::Heartbeat(heartbeat) => self.on_heartbeat(from, sender, epoch, heartbeat),
             MessageBody::NewView(view) => self.adopt(view),
--- /dev/null
+++ b/crates/lockusher-control/src/replica/mistake.rs
@@ -0,0 +1,307 @@
+//! Mistakes put in on purpose, so that tests can show that the simulation and its checks find them.
+//!
+//! Each variant leaves out one guard of the protocol. A replica makes a mistake only if the crate is built with the feature
+//! `simulation`; what is shipped is built without it.
+
+use derive_more::Display;
+
+#[cfg(feature = "simulation")]
+use super::Replica;
+#[cfg(feature = "simulation")]
+use crate::{
+    DurableRecord, Identity, View,
+    message::{AcceptedView, MessageBody, Payload, Transfer},
+    planner::{Plan, Situation},
+};
+
+/// A guard of the protocol that is left out.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+pub enum Mistake {
+    // Reads and refusals
+    #[display("reads are answered without a round of confirmation")]
+    ReadUnconfirmed,
+    #[display("412 is answered without a round of confirmation")]
+    ConflictUnconfirmed,
+    #[display("the refusal of a version that isn't newer is answered without a round of confirmation")]
+    NotNewerUnconfirmed,
+    #[display("a round that began before the request came counts for it")]
+    EarlierRoundCounts,
+    #[display("a voter confirms an epoch although it has accepted a successor")]
+    ConfirmAfterAccepting,
+    #[display("the version that a change builds on isn't compared")]
+    IfMatchIgnored,
+    #[display("a change that was taken before isn't recognized")]
+    TakenNotRecognized,
+    #[display("the numbers of forwarded requests begin at 0 at each start")]
+    RequestNumbersRestart,
+    // Chain
+    #[display("the head acknowledges what it alone holds")]
+    AcknowledgeBeforeTail,
+    #[display("a member passes an entry on before it is durable")]
+    PassOnBeforeDurable,
+    #[display("a member takes an entry without what precedes it")]
+    EntryWithoutPredecessor,
+    #[display("the head serves before all members hold its state")]
+    ServeBeforeSynchronised,
+    #[display("a head that was restarted serves on in its epoch")]
+    RestartedHeadServes,
+    #[display("a member takes for committed what differs from the committed state")]
+    CommittedUnchecked,
+    // Joining
+    #[display("a sealed member goes on taking entries")]
+    EntryAfterSeal,
+    #[display("a sealed head goes on serving")]
+    ServeAfterSeal,
+    #[display("the sealed state is handed over before the seal is durable")]
+    SealNotAwaited,
+    #[display("joiners are never given the sealed state")]
+    JoinersUnfed,
+    #[display("a joiner says that it holds the sealed state before it is durable")]
+    JoinAnsweredBeforeDurable,
+    #[display("an older state handed over is taken")]
+    OlderTransferTaken,
+    #[display("the history of taken changes isn't handed over")]
+    HistoryForgotten,
+    // Agreement
+    #[display("a chain below the majority is proposed")]
+    ShortChain,
+    #[display("several voters are changed in one view")]
+    SeveralVotersChanged,
+    #[display("voters are removed below twice the tolerated losses and one")]
+    VotersBelowMinimum,
+    #[display("a voter that left stays a voter until it has been silent for long")]
+    DepartedVoterKept,
+    #[display("a lower ballot is accepted")]
+    LowerBallotAccepted,
+    #[display("a promise doesn't report the view accepted before")]
+    AcceptedNotReported,
+    #[display("a proposer passes over a view accepted before")]
+    AcceptedPassedOver,
+    #[display("votes are answered before they are durable")]
+    VoteAnsweredBeforeDurable,
+    #[display("a view is adopted after one acceptance")]
+    AdoptAfterOneAcceptance,
+    #[display("answers of nodes that aren't voters count")]
+    StrangersCount,
+    #[display("a node acts in a view that isn't on its disk")]
+    ActBeforeViewDurable,
+    #[display("messages of older epochs count")]
+    OlderEpochsCount,
+    // Disk
+    #[display("a seed that lost its disk takes its former identity")]
+    VoteAfterWipe,
+    #[display("a seed with an empty disk assumes the first start")]
+    FirstStartAssumed,
+    #[display("a promise isn't recovered after a restart")]
+    PromiseForgotten,
+    #[display("an acceptance isn't recovered after a restart")]
+    AcceptanceForgotten,
+    #[display("a seal isn't recovered after a restart")]
+    SealForgotten,
+    #[display("a snapshot leaves out the state")]
+    SnapshotWithoutState,
+    #[display("a snapshot leaves out the votes")]
+    SnapshotWithoutVotes,
+}
+
+impl Mistake {
+    /// All mistakes.
+    pub const ALL: [Mistake; 40] = [
+        Mistake::ReadUnconfirmed,
+        Mistake::ConflictUnconfirmed,
+        Mistake::NotNewerUnconfirmed,
+        Mistake::EarlierRoundCounts,
+        Mistake::ConfirmAfterAccepting,
+        Mistake::IfMatchIgnored,
+        Mistake::TakenNotRecognized,
+        Mistake::RequestNumbersRestart,
+        Mistake::AcknowledgeBeforeTail,
+        Mistake::PassOnBeforeDurable,
+        Mistake::EntryWithoutPredecessor,
+        Mistake::ServeBeforeSynchronised,
+        Mistake::RestartedHeadServes,
+        Mistake::CommittedUnchecked,
+        Mistake::EntryAfterSeal,
+        Mistake::ServeAfterSeal,
+        Mistake::SealNotAwaited,
+        Mistake::JoinersUnfed,
+        Mistake::JoinAnsweredBeforeDurable,
+        Mistake::OlderTransferTaken,
+        Mistake::HistoryForgotten,
+        Mistake::ShortChain,
+        Mistake::SeveralVotersChanged,
+        Mistake::VotersBelowMinimum,
+        Mistake::DepartedVoterKept,
+        Mistake::LowerBallotAccepted,
+        Mistake::AcceptedNotReported,
+        Mistake::AcceptedPassedOver,
+        Mistake::VoteAnsweredBeforeDurable,
+        Mistake::AdoptAfterOneAcceptance,
+        Mistake::StrangersCount,
+        Mistake::ActBeforeViewDurable,
+        Mistake::OlderEpochsCount,
+        Mistake::VoteAfterWipe,
+        Mistake::FirstStartAssumed,
+        Mistake::PromiseForgotten,
+        Mistake::AcceptanceForgotten,
+        Mistake::SealForgotten,
+        Mistake::SnapshotWithoutState,
+        Mistake::SnapshotWithoutVotes,
+    ];
+
+    /// The mistake with this name, as [`std::fmt::Debug`] writes it.
+    pub fn named(name: &str) -> Option<Mistake> {
+        Self::ALL.into_iter().find(|mistake| format!("{mistake:?}") == name)
+    }
+}
+
+#[cfg(feature = "simulation")]
+impl Replica {
+    pub(super) fn makes(&self, mistake: Mistake) -> bool {
+        self.mistake == Some(mistake)
+    }
+
+    /// The plan, changed by a mistake of the planner.
+    pub(super) fn mistaken_plan(&self, plan: Option<Plan>, situation: &Situation) -> Option<Plan> {
+        match self.mistake {
+            Some(Mistake::ShortChain) => short_chain(situation).or(plan),
+            Some(Mistake::SeveralVotersChanged) => plan.map(|plan| without_unreachable(plan, situation)),
+            _ => plan,
+        }
+    }
+
+    /// What of the votes and the state a snapshot holds, after a mistake.
+    pub(super) fn mistaken_snapshot(&self, mut records: Vec<DurableRecord>) -> Vec<DurableRecord> {
+        let is_vote = |record: &DurableRecord| {
+            matches!(
+                record,
+                DurableRecord::Promise { .. } | DurableRecord::Accept { .. } | DurableRecord::Seal { .. }
+            )
+        };
+        if self.makes(Mistake::SnapshotWithoutState) {
+            records.retain(|record| !matches!(record, DurableRecord::State { .. }));
+        }
+        if self.makes(Mistake::SnapshotWithoutVotes) {
+            records.retain(|record| !is_vote(record));
+        }
+        records
+    }
+
+    /// What a start finds on its disk, after a mistake.
+    pub(super) fn mistaken_recovery(
+        mistake: Option<Mistake>,
+        mut records: Vec<DurableRecord>,
+    ) -> Vec<DurableRecord> {
+        match mistake {
+            Some(Mistake::PromiseForgotten) => {
+                records.retain(|record| !matches!(record, DurableRecord::Promise { .. }));
+            }
+            Some(Mistake::AcceptanceForgotten) => {
+                records.retain(|record| !matches!(record, DurableRecord::Accept { .. }));
+            }
+            Some(Mistake::SealForgotten) => {
+                records.retain(|record| !matches!(record, DurableRecord::Seal { .. }));
+            }
+            _ => {}
+        }
+        records
+    }
+
+    /// A message on its way out, changed by a mistake.
+    pub(super) fn mistaken_body(&self, body: MessageBody) -> MessageBody {
+        match (self.mistake, body) {
+            (Some(Mistake::HistoryForgotten), MessageBody::Transfer(transfer)) => {
+                MessageBody::Transfer(without_history(transfer))
+            }
+            (Some(Mistake::AcceptedNotReported), MessageBody::Promised { ballot, .. }) => {
+                MessageBody::Promised { ballot, accepted: None }
+            }
+            (_, body) => body,
+        }
+    }
+
+    /// What a proposer hears of views accepted before, after a mistake.
+    pub(super) fn mistaken_report(&self, accepted: Option<AcceptedView>) -> Option<AcceptedView> {
+        accepted.filter(|_| !self.makes(Mistake::AcceptedPassedOver))
+    }
+}
+
+#[cfg(feature = "simulation")]
+fn short_chain(situation: &Situation) -> Option<Plan> {
+    let view = situation.view;
+    let is_fit = |member: &Identity| situation.fit.contains(member);
+    let chain: Vec<Identity> = view.chain.iter().copied().filter(is_fit).collect();
+    let is_short = !chain.is_empty() && chain.len() < view.majority();
+    is_short.then(|| Plan {
+        view: View { epoch: view.epoch + 1, voters: view.voters.clone(), chain },
+        joiners: Vec::new(),
+    })
+}
+
+#[cfg(feature = "simulation")]
+fn without_unreachable(mut plan: Plan, situation: &Situation) -> Plan {
+    let chain = plan.view.chain.clone();
+    let is_gone =
+        |identity: Identity| situation.unreachable.contains(&identity) && !chain.contains(&identity);
+    plan.view.voters.retain(|voter| !is_gone(voter.identity));
+    plan
+}
+
+#[cfg(feature = "simulation")]
+fn without_history(mut transfer: Transfer) -> Transfer {
+    if let Payload::Whole(state) = &mut transfer.payload {
+        *state = state.without_history();
+    }
+    transfer
+}
+
+/// Without the feature no mistake is made: these are the plain ways.
+#[cfg(not(feature = "simulation"))]
+mod plain {
+    use super::Mistake;
+    use crate::{
+        DurableRecord,
+        message::{AcceptedView, MessageBody},
+        planner::{Plan, Situation},
+        replica::Replica,
+    };
+
+    impl Replica {
+        pub(in crate::replica) fn makes(&self, _mistake: Mistake) -> bool {
+            false
+        }
+
+        pub(in crate::replica) fn mistaken_plan(
+            &self,
+            plan: Option<Plan>,
+            _situation: &Situation,
+        ) -> Option<Plan> {
+            plan
+        }
+
+        pub(in crate::replica) fn mistaken_snapshot(
+            &self,
+            records: Vec<DurableRecord>,
+        ) -> Vec<DurableRecord> {
+            records
+        }
+
+        pub(in crate::replica) fn mistaken_recovery(
+            _mistake: Option<Mistake>,
+            records: Vec<DurableRecord>,
+        ) -> Vec<DurableRecord> {
+            records
+        }
+
+        pub(in crate::replica) fn mistaken_body(&self, body: MessageBody) -> MessageBody {
+            body
+        }
+
+        pub(in crate::replica) fn mistaken_report(
+            &self,
+            accepted: Option<AcceptedView>,
+        ) -> Option<AcceptedView> {
+            accepted
+        }
+    }
+}
--- a/crates/lockusher-control/src/replica/recovery.rs
+++ b/crates/lockusher-control/src/replica/recovery.rs
@@ -20,9 +20,12 @@
     ) -> (Replica, Vec<Effect>) {
         let timing = Timing::new(setup.acknowledge_ms, setup.catch_up_ms);
         let mut random = ChaCha8Rng::seed_from_u64(setup.random_seed);
+        let recovered = Self::mistaken_recovery(mistake, recovered);
         let known = recovered_identity(&recovered);
         let drawn = Identity::of_joiner(random.random());
         let first_request = random.random::<u64>() >> 1;
+        let numbers_restart = mistake == Some(Mistake::RequestNumbersRestart);
+        let first_request = if numbers_restart { 0 } else { first_request };
         let view = newest_view(&recovered);
         let votes = view.as_ref().map_or_else(Votes::default, |view| recovered_votes(&recovered, view.epoch));
         let mut replica = Replica {
@@ -74,7 +77,8 @@
         match known {
             Some((identity, former)) if former == address => {
                 self.identity = identity;
-                self.renew = self.view.as_ref().is_some_and(|view| view.head() == Some(identity));
+                let was_head = self.view.as_ref().is_some_and(|view| view.head() == Some(identity));
+                self.renew = was_head && !self.makes(Mistake::RestartedHeadServes);
             }
             Some(_) => {
                 self.votes = Votes::default();
@@ -87,10 +91,11 @@
     fn start_on_empty_disk(&mut self) {
         let address = self.setup.address;
         let is_seed = self.setup.seeds.contains(&address);
-        if self.mistake == Some(Mistake::VoteAfterWipe) && is_seed {
+        if self.makes(Mistake::VoteAfterWipe) && is_seed {
             self.identity = Identity::of_first_start(address);
         }
-        if !(self.setup.first_start && is_seed) {
+        let first_start = self.setup.first_start || self.makes(Mistake::FirstStartAssumed);
+        if !(first_start && is_seed) {
             self.persist_votes(vec![self.identity_record()], Vec::new());
             return;
         }
@@ -114,7 +119,7 @@
             records.extend(self.votes.records(view.epoch));
         }
         records.push(self.holding.record());
-        records
+        self.mistaken_snapshot(records)
     }
 }
 
--- a/crates/lockusher-control/src/replica/requests.rs
+++ b/crates/lockusher-control/src/replica/requests.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddrV4};
 
-use super::{Effect, Replica, Reply, Request, RequestTicket};
+use super::{Effect, Mistake, Replica, Reply, Request, RequestTicket};
 use crate::{Digest, Document, Millis, message::MessageBody};
 
 /// Most requests that wait at one node, and at the head.
@@ -182,21 +182,24 @@
     fn decide(&self, queued: &Queued) -> Decision {
         let Some(state) = self.serving_state() else { return Decision::Wait };
         let confirmed = self.is_confirmed(queued.round);
-        let if_confirmed = |reply| if confirmed { Decision::Reply(reply) } else { Decision::Confirm };
+        let if_confirmed = |reply, unless: Mistake| {
+            if confirmed || self.makes(unless) { Decision::Reply(reply) } else { Decision::Confirm }
+        };
         let Request::Put { if_match, version, .. } = &queued.request else {
-            return if_confirmed(Reply::Document(state.document().cloned()));
+            return if_confirmed(Reply::Document(state.document().cloned()), Mistake::ReadUnconfirmed);
         };
-        if queued.digest.is_some_and(|digest| state.has_taken(digest)) {
+        let taken = queued.digest.is_some_and(|digest| state.has_taken(digest));
+        if taken && !self.makes(Mistake::TakenNotRecognized) {
             return Decision::Reply(Reply::Accepted);
         }
         if self.holding.pending.is_some() || self.write_in_flight().is_some() {
             return Decision::Wait;
         }
         let current = state.version();
-        if *if_match != current {
-            if_confirmed(Reply::Conflict { current })
+        if *if_match != current && !self.makes(Mistake::IfMatchIgnored) {
+            if_confirmed(Reply::Conflict { current }, Mistake::ConflictUnconfirmed)
         } else if *version <= current {
-            if_confirmed(Reply::NotNewer { current })
+            if_confirmed(Reply::NotNewer { current }, Mistake::NotNewerUnconfirmed)
         } else {
             Decision::Write
         }
--- a/crates/lockusher-control/src/simulation/calls.rs
+++ b/crates/lockusher-control/src/simulation/calls.rs
@@ -10,6 +10,18 @@
 
 /// An operator moves on after this silence.
 const OPERATOR_PATIENCE: Millis = 1000;
+/// One change in so many reaches another machine, too, sooner or later.
+const DOUBLED_CALLS: u32 = 8;
+/// How late a doubled call comes at most.
+const LATE: std::ops::Range<Millis> = 1..12_000;
+
+/// A call that is held on its way; nobody waits for its answer.
+#[derive(Clone, Debug)]
+pub struct LateCall {
+    pub due: Millis,
+    node: usize,
+    request: Request,
+}
 
 impl World {
     pub(super) fn step_operators(&mut self) {
@@ -57,9 +69,37 @@
         let floor = self.history.floor();
         let deadline = self.now + OPERATOR_PATIENCE;
         self.operators[number].call = Some(Call { ticket, deadline, floor, is_read: change.is_none() });
+        if change.is_some() && self.random.random_ratio(1, DOUBLED_CALLS) {
+            self.hold_call(request.clone());
+        }
         self.event(node, Event::Request { ticket, request });
     }
 
+    /// The same call reaches some machine late, also one that doesn't run now.
+    fn hold_call(&mut self, request: Request) {
+        let node = self.random.random_range(0..self.nodes.len());
+        let due = self.now + self.random.random_range(LATE);
+        self.late_calls.push(LateCall { due, node, request });
+    }
+
+    /// Delivers calls that were held, once their machine runs; one that is down or gone loses them.
+    pub(super) fn deliver_late_calls(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<LateCall>, Vec<LateCall>) =
+            std::mem::take(&mut self.late_calls).into_iter().partition(|call| call.due <= now);
+        self.late_calls = later;
+        for call in due {
+            let node = &self.nodes[call.node];
+            if node.frozen_until > now && node.replica.is_some() {
+                self.late_calls.push(LateCall { due: node.frozen_until, ..call });
+            } else if node.runs(now) {
+                self.next_request += 1;
+                let ticket = RequestTicket(self.next_request);
+                self.event(call.node, Event::Request { ticket, request: call.request });
+            }
+        }
+    }
+
     /// Asks one machine and waits for its answer.
     pub(super) fn ask(&mut self, number: usize, request: Request) -> Option<Reply> {
         self.next_request += 1;
--- /dev/null
+++ b/crates/lockusher-control/src/simulation/checks.rs
@@ -0,0 +1,119 @@
+//! Compares what the nodes do with what they owe: obligations towards each other, and copies of what is committed.
+
+use super::{contents::Contents, obligations::Breach, world::World};
+use crate::{DurableRecord, Identity, Message};
+
+/// What a run is judged by.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Checks {
+    /// What operators and agents are told, and what nodes owe each other.
+    #[default]
+    Everything,
+    /// What operators and agents are told.
+    ToldOnly,
+}
+
+impl World {
+    fn looks_inside(&self) -> bool {
+        self.options.checks == Checks::Everything
+    }
+
+    fn note(&mut self, checked: Result<(), Breach>) {
+        if let Err(breach) = checked {
+            let now = self.now;
+            self.history.violations.push(format!("{now}: {breach}"));
+        }
+    }
+
+    /// A node sends a message.
+    pub(super) fn check_sent(&mut self, number: usize, message: &Message) {
+        if !self.looks_inside() {
+            return;
+        }
+        let Some(disk) = self.nodes[number].disk.contents() else { return };
+        let checked = self.obligations.sent(message, disk);
+        self.note(checked);
+    }
+
+    /// Records of a node have become durable.
+    pub(super) fn check_written(&mut self, number: usize, records: &[DurableRecord]) {
+        if !self.looks_inside() {
+            return;
+        }
+        let Some(disk) = self.nodes[number].disk.contents() else { return };
+        let Some(identity) = disk.identity() else { return };
+        let checked = self.obligations.written(identity, records, disk);
+        self.note(checked);
+    }
+
+    /// A node may have adopted a view.
+    pub(super) fn check_adopted(&mut self, number: usize) {
+        let Some(view) = self.nodes[number].replica.as_ref().and_then(|replica| replica.view()) else {
+            return;
+        };
+        if view.epoch <= self.nodes[number].adopted_epoch {
+            return;
+        }
+        let view = view.clone();
+        self.nodes[number].adopted_epoch = view.epoch;
+        let minimum = 2 * self.tolerated_losses() + 1;
+        let adopted = self.obligations.adopted(&view, minimum);
+        if !self.looks_inside() {
+            return;
+        }
+        let is_first = adopted.as_ref().is_ok_and(|is_first| *is_first);
+        self.note(adopted.map(|_| ()));
+        if is_first {
+            self.check_copies();
+        }
+    }
+
+    /// Every member of the newest chain whose disk isn't lost holds the newest configuration that was committed.
+    pub(super) fn check_copies(&mut self) {
+        if !self.looks_inside() {
+            return;
+        }
+        let Some((version, digest)) = self.history.newest_committed() else { return };
+        let Some(view) = self.obligations.newest_view() else { return };
+        let lacks = |member: &Identity| self.disk_of(*member).is_some_and(|disk| !disk.has_taken(digest));
+        let lacking = view.chain.iter().copied().find(lacks);
+        if let Some(member) = lacking {
+            let epoch = view.epoch;
+            self.note(Err(format!("{member} is in the chain of view {epoch} without version {version}")));
+        }
+    }
+
+    /// What the disk with this identity holds; none if it is lost.
+    fn disk_of(&self, identity: Identity) -> Option<&Contents> {
+        let disks = self.nodes.iter().filter_map(|node| node.disk.contents());
+        let mut of_identity = disks.filter(|disk| disk.identity() == Some(identity));
+        of_identity.next()
+    }
+
+    /// A process has started: what it makes of its disk is what the disk holds.
+    pub(super) fn check_recovered(&mut self, number: usize) {
+        let node = &self.nodes[number];
+        let (Some(replica), Some(disk)) = (&node.replica, node.disk.contents()) else { return };
+        if !self.looks_inside() || disk.identity().is_none() {
+            return;
+        }
+        let lost = disk.lost_in(&Contents::of(&replica.snapshot()));
+        let address = node.address;
+        if let Some(lost) = lost {
+            self.note(Err(format!("{address} starts without {lost} that is on its disk")));
+        }
+    }
+
+    /// A snapshot takes the place of the log: it holds the same.
+    pub(super) fn check_snapshot(&mut self, number: usize, records: &[DurableRecord]) {
+        let node = &self.nodes[number];
+        let Some(disk) = node.disk.contents().filter(|_| self.options.checks == Checks::Everything) else {
+            return;
+        };
+        let lost = disk.lost_in(&Contents::of(records));
+        let address = node.address;
+        if let Some(lost) = lost {
+            self.note(Err(format!("a snapshot of {address} leaves out {lost}")));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lockusher-control/src/simulation/contents.rs
@@ -0,0 +1,98 @@
+//! What a simulated disk durably holds, added up from its records.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    Digest, DurableRecord, Identity, View, holding::Holding, message::Ballot, state::Lineage, votes::Votes,
+};
+
+/// The sum of the records on one disk.
+#[derive(Clone, Debug, Default)]
+pub struct Contents {
+    identity: Option<Identity>,
+    view: Option<View>,
+    votes: BTreeMap<u64, Votes>,
+    holding: Holding,
+}
+
+impl Contents {
+    /// The sum of these records, in their order.
+    pub fn of(records: &[DurableRecord]) -> Self {
+        let mut contents = Self::default();
+        records.iter().for_each(|record| contents.add(record));
+        contents
+    }
+
+    /// A further record has become durable.
+    pub fn add(&mut self, record: &DurableRecord) {
+        match record {
+            DurableRecord::Identity { identity, .. } => self.identity = Some(*identity),
+            DurableRecord::View(view) => {
+                if self.epoch() < view.epoch {
+                    self.view = Some(view.clone());
+                }
+            }
+            DurableRecord::Promise { epoch, .. }
+            | DurableRecord::Accept { epoch, .. }
+            | DurableRecord::Seal { epoch } => self.votes.entry(*epoch).or_default().recover(record),
+            DurableRecord::Entry { .. } | DurableRecord::State { .. } | DurableRecord::Standing { .. } => {
+                self.holding.recover(record.clone());
+            }
+        }
+    }
+
+    /// Whose disk it is; none before the first record.
+    pub fn identity(&self) -> Option<Identity> {
+        self.identity
+    }
+
+    /// Epoch of the newest view; 0 if it holds none.
+    pub fn epoch(&self) -> u64 {
+        self.view.as_ref().map_or(0, |view| view.epoch)
+    }
+
+    /// The highest ballot promised for the successor of an epoch.
+    pub fn promised(&self, epoch: u64) -> Ballot {
+        self.votes.get(&epoch).map_or_else(Ballot::default, |votes| votes.promised)
+    }
+
+    /// The ballot of the newest acceptance for the successor of an epoch.
+    pub fn accepted(&self, epoch: u64) -> Option<Ballot> {
+        self.votes.get(&epoch)?.accepted.as_ref().map(|accepted| accepted.ballot)
+    }
+
+    /// Whether no further entry of the epoch is taken.
+    pub fn is_sealed(&self, epoch: u64) -> bool {
+        self.votes.get(&epoch).is_some_and(|votes| votes.sealed)
+    }
+
+    /// Identifies the state.
+    pub fn lineage(&self) -> Lineage {
+        self.holding.state.lineage()
+    }
+
+    /// Whether the state contains this configuration or was built on it.
+    pub fn has_taken(&self, digest: Digest) -> bool {
+        self.holding.state.has_taken(digest)
+    }
+
+    /// In what another sum, which should be the same, falls behind this one; none if it doesn't.
+    pub fn lost_in(&self, other: &Contents) -> Option<&'static str> {
+        let epoch = self.epoch();
+        if self.identity != other.identity {
+            Some("the identity")
+        } else if epoch > other.epoch() {
+            Some("the view")
+        } else if self.lineage() != other.lineage() {
+            Some("the state")
+        } else if epoch == other.epoch() && self.promised(epoch) > other.promised(epoch) {
+            Some("a promise")
+        } else if epoch == other.epoch() && self.accepted(epoch) > other.accepted(epoch) {
+            Some("an acceptance")
+        } else if epoch == other.epoch() && self.is_sealed(epoch) && !other.is_sealed(epoch) {
+            Some("a seal")
+        } else {
+            None
+        }
+    }
+}
--- a/crates/lockusher-control/src/simulation/disk.rs
+++ b/crates/lockusher-control/src/simulation/disk.rs
@@ -5,12 +5,17 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use super::contents::Contents;
 use crate::{Document, DurableRecord, Millis, PersistTicket, ReplicatedState};
 
 /// The log and the writes under way.
 #[derive(Debug, Default)]
 pub struct Disk {
     log: Vec<DurableRecord>,
+    /// What the log adds up to.
+    contents: Contents,
+    /// It was altered behind the back of its owner.
+    falsified: bool,
     writes: VecDeque<Write>,
     /// Nothing is synced until then.
     pub stalled_until: Millis,
@@ -40,10 +45,11 @@
 }
 
 /// A write that has ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Finished {
     pub ticket: PersistTicket,
-    pub durable: bool,
+    /// The records, if they are durable now; the disk refused them otherwise.
+    pub durable: Option<Vec<DurableRecord>>,
 }
 
 /// Log records after which the simulated storage asks for a snapshot.
@@ -98,17 +104,22 @@
         let write = self.writes.pop_front()?;
         let refused = refuses(self.room, &write.records);
         if !refused {
-            self.log.extend(write.records);
+            self.keep(&write.records);
         }
-        Some(Finished { ticket: write.ticket, durable: !refused })
+        Some(Finished { ticket: write.ticket, durable: (!refused).then_some(write.records) })
+    }
+
+    fn keep(&mut self, records: &[DurableRecord]) {
+        records.iter().for_each(|record| self.contents.add(record));
+        self.log.extend_from_slice(records);
     }
 
     /// The process ends or power is lost: of the writes under way, some may be there, in order.
     pub fn interrupt(&mut self, random: &mut ChaCha8Rng) {
         let kept = random.random_range(0..=self.writes.len());
-        for write in self.writes.drain(..).take(kept) {
+        for write in std::mem::take(&mut self.writes).into_iter().take(kept) {
             if !refuses(self.room, &write.records) {
-                self.log.extend(write.records);
+                self.keep(&write.records);
             }
         }
     }
@@ -131,11 +142,18 @@
                 }
                 _ => continue,
             }
+            self.contents = Contents::of(&self.log);
+            self.falsified = true;
             return true;
         }
         false
     }
 
+    /// What it durably holds; none if it was altered behind the back of its owner.
+    pub fn contents(&self) -> Option<&Contents> {
+        (!self.falsified).then_some(&self.contents)
+    }
+
     /// What a start finds.
     pub fn records(&self) -> Vec<DurableRecord> {
         self.log.clone()
@@ -143,11 +161,12 @@
 
     /// Whether the log is long enough to be replaced by a snapshot.
     pub fn wants_snapshot(&self) -> bool {
-        self.log.len() > SNAPSHOT_AFTER
+        self.log.len() > SNAPSHOT_AFTER && self.writes.is_empty()
     }
 
     /// Replaces the log.
     pub fn replace(&mut self, records: Vec<DurableRecord>) {
+        self.contents = Contents::of(&records);
         self.log = records;
     }
 }
--- a/crates/lockusher-control/src/simulation/faults.rs
+++ b/crates/lockusher-control/src/simulation/faults.rs
@@ -6,10 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{
-    disk::Room,
-    world::{CATCH_UP_MS, World},
-};
+use super::{disk::Room, world::World};
 use crate::{Millis, planner::VOTER_LIMIT};
 
 /// Longest time that a killed process is down.
@@ -22,8 +19,8 @@
 const SLOW_SYNC: std::ops::Range<Millis> = 20..900;
 /// The first start is left in peace until all have found each other: before, an empty disk is a lost one.
 const FIRST_FAULT: Millis = 1000;
-/// Most machines ever added, so that addresses stay apart.
-const MACHINE_LIMIT: usize = 60;
+/// A machine is away for so long at most, and comes back with what it knew.
+const LONG_ABSENCE: std::ops::Range<Millis> = 5_000..30_000;
 
 /// A fault, or the end of some.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
@@ -60,28 +57,40 @@
     StopOne,
     #[display("a machine that was replaced returns")]
     ReturnOfRemoved,
+    #[display("a machine is away for long")]
+    LongAbsence,
+    #[display("disks are lost one after another")]
+    LoseInARow,
+    #[display("a minority misses changes, then the others are lost or go dark")]
+    LeaveBehind,
+    #[display("a node is struck in the middle of a step of the protocol")]
+    Ambush,
 }
 
 impl FaultKind {
-    /// The kind that a number below 100 stands for, by frequency; none for the last two.
-    fn drawn(percent: u32) -> Option<FaultKind> {
-        let kind = match percent {
-            0..12 => FaultKind::KillOne,
-            12..18 => FaultKind::KillAll,
-            18..24 => FaultKind::FreezeOne,
-            24..36 => FaultKind::CutOne,
-            36..42 => FaultKind::CutInTwo,
-            42..54 => FaultKind::Heal,
-            54..60 => FaultKind::StallDisk,
-            60..64 => FaultKind::FillDisk,
-            64..68 => FaultKind::SlowDisk,
-            68..72 => FaultKind::FreeDisks,
-            72..80 => FaultKind::DisturbNetwork,
-            80..84 => FaultKind::WipeSome,
-            84..88 => FaultKind::WipeSomeAndKillAll,
-            88..92 => FaultKind::ReplaceOne,
-            92..96 => FaultKind::StopOne,
-            96..98 => FaultKind::ReturnOfRemoved,
+    /// The kind that a number below 200 stands for, by frequency; none for the last ones.
+    fn drawn(number: u32) -> Option<FaultKind> {
+        let kind = match number {
+            0..24 => FaultKind::KillOne,
+            24..34 => FaultKind::KillAll,
+            34..46 => FaultKind::FreezeOne,
+            46..66 => FaultKind::CutOne,
+            66..76 => FaultKind::CutInTwo,
+            76..100 => FaultKind::Heal,
+            100..112 => FaultKind::StallDisk,
+            112..120 => FaultKind::FillDisk,
+            120..128 => FaultKind::SlowDisk,
+            128..136 => FaultKind::FreeDisks,
+            136..150 => FaultKind::DisturbNetwork,
+            150..158 => FaultKind::WipeSome,
+            158..164 => FaultKind::WipeSomeAndKillAll,
+            164..170 => FaultKind::ReplaceOne,
+            170..176 => FaultKind::StopOne,
+            176..180 => FaultKind::ReturnOfRemoved,
+            180..182 => FaultKind::LongAbsence,
+            182..184 => FaultKind::LoseInARow,
+            184..186 => FaultKind::LeaveBehind,
+            186..198 => FaultKind::Ambush,
             _ => return None,
         };
         Some(kind)
@@ -107,7 +116,7 @@
         self.fault_random = ChaCha8Rng::seed_from_u64(self.options.seed);
         self.fault_random.set_stream(step as u64 + 1);
         let is_due = self.fault_random.random_ratio(self.fault_percent, 100);
-        let drawn = FaultKind::drawn(self.fault_random.random_range(0..100));
+        let drawn = FaultKind::drawn(self.fault_random.random_range(0..200));
         let Some(kind) = drawn.filter(|_| is_due && !left_out.contains(&step)) else { return };
         self.outcome.faults.push(FaultStep { step, kind });
         self.begin_fault(kind);
@@ -131,51 +140,22 @@
             FaultKind::ReplaceOne => self.replace_one(),
             FaultKind::StopOne => self.stop_one(),
             FaultKind::ReturnOfRemoved => self.return_of_removed(),
+            FaultKind::LongAbsence => self.be_away_for_long(),
+            FaultKind::LoseInARow => self.lose_in_a_row(),
+            FaultKind::LeaveBehind => self.leave_behind(),
+            FaultKind::Ambush => self.lay_ambush(),
         }
     }
 
-    /// Without faults until all machines count as well again; the operators go on.
-    fn wait_for_calm(&mut self) {
-        self.end_faults();
-        let deadline = self.now + 2 * CATCH_UP_MS;
-        while self.wipes_allowed() < self.tolerated_losses() && self.now < deadline {
-            self.note_trouble();
-            self.step_operators();
-            let pause = self.fault_random.random_range(5..60);
-            self.advance(self.now + pause);
-        }
-    }
-
-    /// A machine counts as lost until it has been well for the time to catch up.
-    fn note_trouble(&mut self) {
-        let now = self.now;
-        let lossy = self.network.loss > 0 || self.network.held > 0;
-        let cut: Vec<bool> = self.nodes.iter().map(|node| self.network.is_cut(node.address)).collect();
-        for (node, cut) in self.nodes.iter_mut().zip(cut) {
-            let troubled = !node.disk.is_well(now);
-            if !node.runs(now) || troubled || cut || lossy {
-                node.trouble_at = now;
-            }
-        }
-    }
-
-    fn present(&self) -> Vec<usize> {
+    pub(super) fn present(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|number| !self.nodes[*number].removed).collect()
     }
 
-    fn pick(&mut self) -> usize {
+    pub(super) fn pick(&mut self) -> usize {
         let present = self.present();
         present[self.fault_random.random_range(0..present.len())]
     }
 
-    /// How many machines may lose their disks now.
-    fn wipes_allowed(&self) -> usize {
-        let lost = self.present().into_iter().filter(|number| {
-            self.now - self.nodes[*number].trouble_at < CATCH_UP_MS || !self.nodes[*number].runs(self.now)
-        });
-        self.tolerated_losses().saturating_sub(lost.count())
-    }
-
     fn kill_for(&mut self, number: usize, down: std::ops::Range<Millis>) {
         let down = self.fault_random.random_range(down);
         self.kill(number, down);
@@ -186,49 +166,12 @@
         self.kill_for(number, DOWN);
     }
 
-    fn kill_all(&mut self) {
+    pub(super) fn kill_all(&mut self) {
         for number in self.present() {
             self.kill_for(number, QUICK_RETURN);
         }
     }
 
-    /// Machines lose their disks, at times while all others lose power.
-    fn wipe_some(&mut self, others_too: bool) {
-        if self.wipes_allowed() == 0 {
-            self.wait_for_calm();
-        }
-        let allowed = self.wipes_allowed();
-        if allowed == 0 {
-            return;
-        }
-        let count = self.fault_random.random_range(1..=allowed);
-        if others_too {
-            self.kill_all();
-        }
-        for _ in 0..count {
-            let number = self.pick();
-            self.kill_for(number, QUICK_RETURN);
-            self.wipe(number);
-        }
-    }
-
-    /// A machine is removed for good and another one added at a new address.
-    fn replace_one(&mut self) {
-        if self.wipes_allowed() == 0 {
-            self.wait_for_calm();
-        }
-        if self.wipes_allowed() == 0 || self.nodes.len() >= MACHINE_LIMIT {
-            return;
-        }
-        let number = self.pick();
-        if self.fault_random.random_ratio(1, 2) {
-            self.stop(number);
-        }
-        self.remove(number);
-        let after = self.fault_random.random_range(QUICK_RETURN);
-        self.add(after);
-    }
-
     /// A machine that was removed and replaced comes back with its disk, and stays.
     fn return_of_removed(&mut self) {
         if self.present().len() >= VOTER_LIMIT {
@@ -278,6 +221,43 @@
         }
     }
 
+    /// Nothing passes between these machines and those.
+    pub(super) fn cut_apart(&mut self, some: &[usize], others: &[usize]) {
+        for first in some {
+            for second in others {
+                self.cut(*first, *second);
+                self.cut(*second, *first);
+            }
+        }
+    }
+
+    /// Nothing passes between a machine and all others.
+    pub(super) fn cut_off(&mut self, number: usize) {
+        let others: Vec<usize> = (0..self.nodes.len()).filter(|other| *other != number).collect();
+        self.cut_apart(&[number], &others);
+    }
+
+    /// A machine hears nothing, isn't heard, or both; or it is frozen, or its disk stalls; for many seconds, while the
+    /// operators go on and reach it.
+    fn be_away_for_long(&mut self) {
+        let number = if self.fault_random.random_ratio(1, 2) { self.head() } else { None };
+        let number = number.unwrap_or_else(|| self.pick());
+        let time = self.fault_random.random_range(LONG_ABSENCE);
+        let others: Vec<usize> = (0..self.nodes.len()).filter(|other| *other != number).collect();
+        match self.fault_random.random_range(0..5) {
+            0 => self.cut_off(number),
+            1 => others.iter().for_each(|other| self.cut(*other, number)),
+            2 => others.iter().for_each(|other| self.cut(number, *other)),
+            3 => self.freeze(number, time),
+            _ => self.stall_disk(number, time),
+        }
+        let until = self.now + time;
+        while self.now < until {
+            self.step_in_fault(20..200);
+        }
+        self.heal();
+    }
+
     fn stall_one_disk(&mut self) {
         let number = self.pick();
         let time = self.fault_random.random_range(STALL);
--- a/crates/lockusher-control/src/simulation/history.rs
+++ b/crates/lockusher-control/src/simulation/history.rs
@@ -44,6 +44,9 @@
             self.violations.push(format!("{now}: version {version} acknowledged after it was refused"));
             return;
         }
+        if !sent.committed {
+            self.violations.push(format!("{now}: version {version} acknowledged, but nowhere committed"));
+        }
         if !std::mem::replace(&mut sent.acknowledged, true) {
             self.acknowledged += 1;
         }
@@ -67,6 +70,11 @@
         }
     }
 
+    /// The newest configuration that a node holds to be committed.
+    pub fn newest_committed(&self) -> Option<(u64, Digest)> {
+        self.committed.last_key_value().map(|(version, digest)| (*version, *digest))
+    }
+
     /// Highest version that any later read must reach.
     pub fn floor(&self) -> u64 {
         self.floor
@@ -84,9 +92,10 @@
         self.floor = self.floor.max(version);
     }
 
-    /// A node holds this configuration to be committed.
-    pub fn commit(&mut self, document: &Document, now: Millis) {
+    /// A node holds this configuration to be committed. Whether it is the first to do so.
+    pub fn commit(&mut self, document: &Document, now: Millis) -> bool {
         let version = document.version;
+        let is_first = !self.committed.contains_key(&version);
         let former = *self.committed.entry(version).or_insert(document.digest);
         if former != document.digest {
             self.violations.push(format!("{now}: two configurations committed as version {version}"));
@@ -98,6 +107,7 @@
             }
             Some(sent) => sent.committed = true,
         }
+        is_first
     }
 
     /// A node calls itself head of an epoch.
--- /dev/null
+++ b/crates/lockusher-control/src/simulation/losses.rs
@@ -0,0 +1,208 @@
+//! Losses of disks, and how many of them a deployment has to bear at once.
+//!
+//! Only lost disks are counted: machines may be dark, frozen or cut off beside them in any number. A lost disk counts until
+//! its successor has been well for the time to catch up, with a majority of the voters there to feed it.
+
+use rand::RngExt;
+
+use super::world::{CATCH_UP_MS, World};
+use crate::{Millis, planner::VOTER_LIMIT};
+
+/// Time that a machine that lost its disk is down, and that a replacement takes to come.
+const QUICK_RETURN: std::ops::Range<Millis> = 20..1000;
+/// Most machines ever added, so that addresses stay apart.
+const MACHINE_LIMIT: usize = 60;
+
+/// Which machine a loss is aimed at.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Target {
+    Any,
+    Head,
+    Tail,
+    NewestDisk,
+    OldestDisk,
+}
+
+impl World {
+    /// A machine counts as troubled until it has been well for a while; notes which are not well now.
+    pub(super) fn note_trouble(&mut self) {
+        let now = self.now;
+        let lossy = self.network.loss > 0 || self.network.held > 0;
+        for number in 0..self.nodes.len() {
+            let node = &self.nodes[number];
+            let is_well = node.runs(now) && node.disk.is_well(now) && !self.network.is_cut(node.address);
+            if !is_well || lossy {
+                self.nodes[number].trouble_at = now;
+            }
+        }
+        if !self.has_well_majority() {
+            self.minority_at = now;
+        }
+        for number in 0..self.nodes.len() {
+            let unwell_at = self.nodes[number].trouble_at.max(self.minority_at);
+            if now - unwell_at >= CATCH_UP_MS {
+                self.nodes[number].disk_lost = false;
+            }
+        }
+    }
+
+    /// Whether a majority of the newest view's voters, with their disks, are well.
+    fn has_well_majority(&self) -> bool {
+        let Some(view) = self.obligations.newest_view() else { return false };
+        let well = self.nodes.iter().filter(|node| !node.removed && node.trouble_at != self.now);
+        let voters = well.filter_map(|node| node.disk.contents()?.identity());
+        voters.filter(|identity| view.is_voter(*identity)).count() >= view.majority()
+    }
+
+    /// How many machines may lose their disks now.
+    pub(super) fn wipes_allowed(&self) -> usize {
+        let lost = self.present().into_iter().filter(|number| self.nodes[*number].disk_lost);
+        self.tolerated_losses().saturating_sub(lost.count())
+    }
+
+    /// Without further faults until a disk may be lost again; the operators go on. Whether one may.
+    pub(super) fn wait_until_wipe_allowed(&mut self) -> bool {
+        if self.wipes_allowed() > 0 {
+            return true;
+        }
+        self.end_faults();
+        let deadline = self.now + 3 * CATCH_UP_MS;
+        while self.wipes_allowed() == 0 && self.now < deadline {
+            self.step_in_fault(5..60);
+        }
+        self.wipes_allowed() > 0
+    }
+
+    /// The operators go on for a moment within a fault.
+    pub(super) fn step_in_fault(&mut self, pause: std::ops::Range<Millis>) {
+        self.note_trouble();
+        self.step_operators();
+        let pause = self.fault_random.random_range(pause);
+        self.advance(self.now + pause);
+    }
+
+    fn aim(&mut self) -> usize {
+        let target = match self.fault_random.random_range(0..6) {
+            0 => Target::Head,
+            1 => Target::Tail,
+            2 => Target::NewestDisk,
+            3 => Target::OldestDisk,
+            _ => Target::Any,
+        };
+        let present = self.present();
+        let born = |number: &usize| self.nodes[*number].disk_born;
+        let aimed = match target {
+            Target::Any => None,
+            Target::Head => self.head(),
+            Target::Tail => self.chain().last().copied(),
+            Target::NewestDisk => present.iter().copied().max_by_key(born),
+            Target::OldestDisk => present.iter().copied().min_by_key(born),
+        };
+        aimed.filter(|number| present.contains(number)).unwrap_or_else(|| self.pick())
+    }
+
+    /// Machines lose their disks, at times while all others lose power.
+    pub(super) fn wipe_some(&mut self, others_too: bool) {
+        if !self.wait_until_wipe_allowed() {
+            return;
+        }
+        let count = self.fault_random.random_range(1..=self.wipes_allowed());
+        if others_too {
+            self.kill_all();
+        }
+        for _ in 0..count {
+            let number = self.aim();
+            self.lose_disk(number);
+        }
+    }
+
+    fn lose_disk(&mut self, number: usize) {
+        if self.wipes_allowed() == 0 || self.nodes[number].disk_lost {
+            return;
+        }
+        let down = self.fault_random.random_range(QUICK_RETURN);
+        self.kill(number, down);
+        self.wipe(number);
+    }
+
+    /// A machine is removed for good and another one is added at a new address: after it, or before it and then the former
+    /// one is stopped as planned.
+    pub(super) fn replace_one(&mut self) {
+        if !self.wait_until_wipe_allowed() || self.nodes.len() >= MACHINE_LIMIT {
+            return;
+        }
+        let number = self.aim();
+        match self.fault_random.random_range(0..3) {
+            0 => self.replace_after_loss(number, false),
+            1 => self.replace_after_loss(number, true),
+            _ => self.replace_as_planned(number),
+        }
+    }
+
+    fn replace_after_loss(&mut self, number: usize, told: bool) {
+        if told {
+            self.stop(number);
+        }
+        self.remove(number);
+        let after = self.fault_random.random_range(QUICK_RETURN);
+        let successor = self.add(after);
+        self.nodes[successor].disk_lost = true;
+    }
+
+    /// The new machine comes first and has its time to catch up; then the former one leaves.
+    fn replace_as_planned(&mut self, number: usize) {
+        if self.present().len() >= VOTER_LIMIT {
+            return self.replace_after_loss(number, true);
+        }
+        self.end_faults();
+        let successor = self.add(1);
+        self.nodes[successor].disk_lost = true;
+        let deadline = self.now + 3 * CATCH_UP_MS;
+        while self.nodes[successor].disk_lost && self.now < deadline {
+            self.step_in_fault(5..60);
+        }
+        let joined = !self.nodes[successor].disk_lost;
+        self.stop(number);
+        self.remove(number);
+        self.nodes[successor].disk_lost = !joined;
+    }
+
+    /// One loss after another, each as soon as the one before is over.
+    pub(super) fn lose_in_a_row(&mut self) {
+        let count = self.fault_random.random_range(2..=3);
+        for _ in 0..count {
+            match self.fault_random.random_range(0..4) {
+                0 => self.replace_one(),
+                1 => self.wipe_some(true),
+                _ => self.wipe_some(false),
+            }
+        }
+    }
+
+    /// A minority misses changes; one of the others loses its disk, the rest go dark, and the cut heals.
+    pub(super) fn leave_behind(&mut self) {
+        if !self.wait_until_wipe_allowed() {
+            return;
+        }
+        let present = self.present();
+        let skip = self.fault_random.random_range(0..present.len());
+        let in_turn: Vec<usize> = present.iter().cycle().skip(skip).take(present.len()).copied().collect();
+        let (minority, others) = in_turn.split_at((present.len() - 1) / 2);
+        self.cut_apart(minority, others);
+        let until = self.now + self.fault_random.random_range(500..4000);
+        while self.now < until {
+            self.step_in_fault(5..60);
+        }
+        let Some((lost, rest)) = others.split_first() else { return };
+        self.lose_disk(*lost);
+        let dark = self.fault_random.random_range(1000..8000);
+        for number in rest {
+            self.kill(*number, dark);
+        }
+        self.heal();
+        let until = self.now + dark;
+        while self.now < until {
+            self.step_in_fault(20..120);
+        }
+    }
+}
--- a/crates/lockusher-control/src/simulation/mod.rs
+++ b/crates/lockusher-control/src/simulation/mod.rs
@@ -1,20 +1,28 @@
 //! Deterministic simulation of a group of control nodes in virtual time, under faults drawn from a seed.
 //!
 //! Messages are lost, doubled, reordered and held up; processes are killed, frozen and cut off, one way and both;
-//! power fails, disks stall, fill up and are lost; machines are replaced. What operators are told is compared with
-//! a plain model of the configuration ([`History`]).
+//! power fails, disks stall, fill up and are lost; machines are replaced; calls arrive late and twice. Some faults are
+//! aimed: at steps of the protocol (`ambush`), and at the moment in which an earlier loss is over (`losses`). What operators
+//! are told is compared with a plain model of the configuration ([`History`]), and what the nodes do with what they owe each
+//! other (`obligations`).
 
+mod ambush;
 mod calls;
+mod checks;
+mod contents;
 mod disk;
 mod faults;
 mod history;
+mod losses;
 mod network;
 mod node;
+mod obligations;
 mod operator;
 mod scenario;
 mod shrink;
 mod world;
 
+pub use checks::Checks;
 pub use disk::Room;
 pub use faults::{FaultKind, FaultStep};
 pub use history::History;
@@ -26,7 +34,7 @@
 use crate::{Millis, replica::Mistake};
 
 /// What is simulated.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct SimulationOptions {
     /// Control nodes at the start.
     pub replicas: usize,
@@ -36,6 +44,8 @@
     pub steps: usize,
     /// A mistake that all nodes make, to show that it is found.
     pub mistake: Option<Mistake>,
+    /// What the run is judged by.
+    pub checks: Checks,
 }
 
 /// Result of a run.
@@ -65,7 +75,7 @@
 
 /// One run without mistakes.
 pub fn simulate(replicas: usize, seed: u64, steps: usize) -> Outcome {
-    simulate_with(SimulationOptions { replicas, seed, steps, mistake: None })
+    simulate_with(SimulationOptions { replicas, seed, steps, ..SimulationOptions::default() })
 }
 
 /// One run.
--- a/crates/lockusher-control/src/simulation/node.rs
+++ b/crates/lockusher-control/src/simulation/node.rs
@@ -27,6 +27,12 @@
     pub first_start: bool,
     /// Version last reported as committed in this life.
     pub committed_version: u64,
+    /// Epoch of the newest view that it was seen to adopt.
+    pub adopted_epoch: u64,
+    /// Its disk is empty and hasn't had the time to be filled again, or it is a new machine in place of a lost one.
+    pub disk_lost: bool,
+    /// When its disk was new.
+    pub disk_born: Millis,
 }
 
 impl Node {
@@ -43,6 +49,9 @@
             removed: false,
             first_start,
             committed_version: 0,
+            adopted_epoch: 0,
+            disk_lost: true,
+            disk_born: start_at,
         }
     }
 
--- /dev/null
+++ b/crates/lockusher-control/src/simulation/obligations.rs
@@ -0,0 +1,266 @@
+//! What each node owes by what it has told others or made durable, whatever the operators notice of it.
+//!
+//! A broken obligation is a mistake of the program even in a run in which another guard prevents the harm. It shows long
+//! before the rare sequence of faults in which an operator would be told something wrong.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use super::contents::Contents;
+use crate::{
+    Digest, DurableRecord, Identity, Message, Position, View,
+    message::{Ballot, MessageBody, TransferPurpose},
+    state::Lineage,
+};
+
+/// All that was told and decided.
+#[derive(Debug, Default)]
+pub struct Obligations {
+    by_disk: BTreeMap<(Identity, u64), Told>,
+    /// Views that a majority was found to have accepted, by epoch.
+    views: BTreeMap<u64, View>,
+    /// Views that voters were asked to accept, by the epoch that they follow.
+    asked: BTreeMap<(u64, Ballot), View>,
+    /// Disks that hold an acceptance, likewise.
+    acceptances: BTreeMap<(u64, Ballot), BTreeSet<Identity>>,
+    /// Entries, by epoch and index.
+    entries: BTreeMap<(u64, u64), Digest>,
+}
+
+/// What the owner of a disk has told in an epoch, or holds durably.
+#[derive(Debug, Default)]
+struct Told {
+    /// Ballots promised, each with that of the view which it reported as accepted before.
+    promises: BTreeMap<Ballot, Option<Ballot>>,
+    accepted: BTreeSet<Ballot>,
+    /// Lineage of the sealed state that it handed over.
+    handed_over: Option<Lineage>,
+}
+
+/// A broken obligation, in words.
+pub type Breach = String;
+
+impl Obligations {
+    /// A node sends a message while its disk holds this.
+    pub fn sent(&mut self, message: &Message, disk: &Contents) -> Result<(), Breach> {
+        let (sender, epoch) = (message.sender, message.epoch);
+        match &message.body {
+            MessageBody::Promised { ballot, accepted } => {
+                let reported = accepted.as_ref().map(|accepted| accepted.ballot);
+                self.promised(sender, epoch, *ballot, reported, disk)
+            }
+            MessageBody::Accept { ballot, view } => {
+                self.asked.insert((epoch, *ballot), view.clone());
+                Ok(())
+            }
+            MessageBody::Accepted { ballot } => self.accepted(sender, epoch, *ballot, disk),
+            MessageBody::Confirmed { .. } => self.confirmed(sender, epoch),
+            MessageBody::Transfer(transfer) if transfer.purpose == TransferPurpose::Join => {
+                self.handed_over(sender, epoch, transfer.lineage, disk)
+            }
+            MessageBody::TransferAnswer(answer) if answer.held && answer.lineage != disk.lineage() => {
+                Err(format!("{sender} says that it holds a state that isn't on its disk"))
+            }
+            MessageBody::Append { index, document, .. } => {
+                self.passed_on(epoch, *index, document.digest, disk)
+            }
+            MessageBody::Holds { index } | MessageBody::Acknowledge { index } => {
+                self.holds(sender, epoch, *index, disk)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn told(&mut self, sender: Identity, epoch: u64) -> &mut Told {
+        self.by_disk.entry((sender, epoch)).or_default()
+    }
+
+    /// A promise reports whatever was accepted under lower ballots. Messages may be late, so that it doesn't matter which
+    /// of the two was told first.
+    fn promised(
+        &mut self,
+        sender: Identity,
+        epoch: u64,
+        ballot: Ballot,
+        reported: Option<Ballot>,
+        disk: &Contents,
+    ) -> Result<(), Breach> {
+        let told = self.told(sender, epoch);
+        told.promises.insert(ballot, reported);
+        let accepted_below = told.accepted.range(..ballot).next_back().copied();
+        if accepted_below > reported {
+            return Err(format!("{sender} conceals in epoch {epoch} that it accepted {accepted_below:?}"));
+        }
+        if disk.promised(epoch) < ballot {
+            return Err(format!("{sender} answers a promise in epoch {epoch} that isn't on its disk"));
+        }
+        Ok(())
+    }
+
+    fn accepted(
+        &mut self,
+        sender: Identity,
+        epoch: u64,
+        ballot: Ballot,
+        disk: &Contents,
+    ) -> Result<(), Breach> {
+        self.accepts(sender, epoch, ballot)?;
+        if disk.accepted(epoch) < Some(ballot) {
+            return Err(format!("{sender} answers an acceptance in epoch {epoch} that isn't on its disk"));
+        }
+        Ok(())
+    }
+
+    fn accepts(&mut self, sender: Identity, epoch: u64, ballot: Ballot) -> Result<(), Breach> {
+        self.acceptances.entry((epoch, ballot)).or_default().insert(sender);
+        let told = self.told(sender, epoch);
+        told.accepted.insert(ballot);
+        let higher = (Bound::Excluded(ballot), Bound::Unbounded);
+        let broken = told.promises.range(higher).find(|(_, reported)| **reported < Some(ballot));
+        match broken {
+            Some((promised, _)) => {
+                Err(format!("{sender} accepts {ballot:?} in epoch {epoch} after it promised {promised:?}"))
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn confirmed(&mut self, sender: Identity, epoch: u64) -> Result<(), Breach> {
+        if self.told(sender, epoch).accepted.is_empty() {
+            Ok(())
+        } else {
+            Err(format!("{sender} confirms epoch {epoch}, although it accepted a successor"))
+        }
+    }
+
+    fn handed_over(
+        &mut self,
+        sender: Identity,
+        epoch: u64,
+        lineage: Lineage,
+        disk: &Contents,
+    ) -> Result<(), Breach> {
+        if !disk.is_sealed(epoch) {
+            return Err(format!("{sender} hands over its state in epoch {epoch}; no seal is on its disk"));
+        }
+        if lineage != disk.lineage() {
+            return Err(format!("{sender} hands over a state that isn't on its disk"));
+        }
+        match self.told(sender, epoch).handed_over.replace(lineage) {
+            Some(former) if former != lineage => {
+                Err(format!("{sender} hands over two states of epoch {epoch}"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// An entry goes down the chain: the sender holds it.
+    fn passed_on(&mut self, epoch: u64, index: u64, digest: Digest, disk: &Contents) -> Result<(), Breach> {
+        let former = *self.entries.entry((epoch, index)).or_insert(digest);
+        if former != digest {
+            return Err(format!("two entries have the index {index} in epoch {epoch}"));
+        }
+        if !disk.has_taken(digest) {
+            return Err(format!("entry {index} of epoch {epoch} is passed on before it is durable"));
+        }
+        Ok(())
+    }
+
+    fn holds(&mut self, sender: Identity, epoch: u64, index: u64, disk: &Contents) -> Result<(), Breach> {
+        match self.entries.get(&(epoch, index)) {
+            Some(digest) if !disk.has_taken(*digest) => Err(format!(
+                "{sender} says that it holds entry {index} of epoch {epoch}, which isn't on its disk"
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    /// Records of this disk have become durable.
+    pub fn written(
+        &mut self,
+        identity: Identity,
+        records: &[DurableRecord],
+        disk: &Contents,
+    ) -> Result<(), Breach> {
+        for record in records {
+            match record {
+                DurableRecord::Accept { epoch, ballot, view } => {
+                    self.asked.entry((*epoch, *ballot)).or_insert_with(|| view.clone());
+                    self.accepts(identity, *epoch, *ballot)?;
+                }
+                DurableRecord::Entry { position, .. } | DurableRecord::State { position, .. } => {
+                    self.keeps_seal(identity, *position, disk)?;
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn keeps_seal(&mut self, identity: Identity, position: Position, disk: &Contents) -> Result<(), Breach> {
+        let epoch = position.epoch;
+        match self.told(identity, epoch).handed_over {
+            Some(lineage) if lineage != disk.lineage() => {
+                Err(format!("{identity} goes on in epoch {epoch} after it handed over its state"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// A node adopts a view. Whether it is the first to do so, or what is wrong with the view.
+    pub fn adopted(&mut self, view: &View, minimum_voters: usize) -> Result<bool, Breach> {
+        if let Some(known) = self.views.get(&view.epoch) {
+            return if known == view {
+                Ok(false)
+            } else {
+                Err(format!("two views have epoch {}", view.epoch))
+            };
+        }
+        self.views.insert(view.epoch, view.clone());
+        if let Some(former) = self.views.get(&(view.epoch - 1)) {
+            check_succession(former, view, minimum_voters)?;
+            self.check_majority(former, view)?;
+        }
+        Ok(true)
+    }
+
+    fn check_majority(&self, former: &View, view: &View) -> Result<(), Breach> {
+        let of_this =
+            self.asked.iter().filter(|((epoch, _), asked)| *epoch == former.epoch && *asked == view);
+        let is_accepted = of_this.map(|(key, _)| self.acceptances.get(key)).any(|accepted_by| {
+            let voters = accepted_by.into_iter().flatten().filter(|identity| former.is_voter(**identity));
+            voters.count() >= former.majority()
+        });
+        if is_accepted { Ok(()) } else { Err(format!("view {} wasn't accepted by a majority", view.epoch)) }
+    }
+
+    /// The newest view that was adopted.
+    pub fn newest_view(&self) -> Option<&View> {
+        self.views.values().next_back()
+    }
+}
+
+/// The rules that each view keeps towards the one before it.
+fn check_succession(former: &View, view: &View, minimum_voters: usize) -> Result<(), Breach> {
+    let epoch = view.epoch;
+    let added = view.voters.iter().filter(|voter| !former.is_voter(voter.identity)).count();
+    let removed = former.voters.iter().filter(|voter| !view.is_voter(voter.identity)).count();
+    let kept: Vec<Identity> = view.chain.iter().copied().filter(|member| former.in_chain(*member)).collect();
+    let in_order: Vec<Identity> =
+        former.chain.iter().copied().filter(|member| view.in_chain(*member)).collect();
+    if added > 1 || removed > 1 {
+        Err(format!("view {epoch} changes more than one voter"))
+    } else if view.chain.len() < view.majority() {
+        Err(format!("the chain of view {epoch} is less than a majority"))
+    } else if kept.is_empty() {
+        Err(format!("view {epoch} keeps no member of the chain"))
+    } else if kept != in_order || view.chain[..kept.len()] != kept[..] {
+        Err(format!("view {epoch} changes the order of the chain"))
+    } else if !view.chain.iter().all(|member| view.is_voter(*member)) {
+        Err(format!("view {epoch} has a member of the chain that is no voter"))
+    } else if view.voters.len() < former.voters.len().min(minimum_voters) {
+        Err(format!("view {epoch} has {} voters only", view.voters.len()))
+    } else {
+        Ok(())
+    }
+}
--- a/crates/lockusher-control/src/simulation/scenario.rs
+++ b/crates/lockusher-control/src/simulation/scenario.rs
@@ -23,6 +23,7 @@
         let node = &mut self.nodes[number];
         node.disk.interrupt(&mut self.random);
         node.replica = None;
+        node.adopted_epoch = 0;
         node.frozen_until = 0;
         node.start_at = Some(self.now + down);
         node.trouble_at = self.now;
@@ -32,8 +33,12 @@
     pub fn wipe(&mut self, number: usize) {
         log::debug!("{}: disk of machine {number} lost", self.now);
         self.outcome.wipes += 1;
-        self.nodes[number].disk.wipe();
-        self.nodes[number].first_start = false;
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        node.disk.wipe();
+        node.first_start = false;
+        node.disk_lost = true;
+        node.disk_born = now;
     }
 
     /// The configuration on this machine's disk is another one from now on. Whether it held one.
@@ -117,6 +122,7 @@
     pub fn end_faults(&mut self) {
         log::debug!("{}: all faults end", self.now);
         self.network.heal();
+        self.ambush = None;
         self.free_disks();
         let now = self.now;
         for node in &mut self.nodes {
--- a/crates/lockusher-control/src/simulation/world.rs
+++ b/crates/lockusher-control/src/simulation/world.rs
@@ -10,10 +10,13 @@
 
 use super::{
     Outcome, SimulationOptions,
+    ambush::{Ambush, Strike},
+    calls::LateCall,
     disk::Room,
     history::History,
     network::{Delivery, Network},
     node::Node,
+    obligations::Obligations,
     operator::Operator,
 };
 use crate::{Effect, Event, Millis, Replica, ReplicaSetup, Reply, Request, RequestTicket};
@@ -42,6 +45,13 @@
     pub(super) nodes: Vec<Node>,
     pub(super) operators: Vec<Operator>,
     pub(super) history: History,
+    pub(super) obligations: Obligations,
+    /// A fault that waits for a step of the protocol.
+    pub(super) ambush: Option<Ambush>,
+    /// Calls that were held on their way.
+    pub(super) late_calls: Vec<LateCall>,
+    /// When a majority of the voters last wasn't well.
+    pub(super) minority_at: Millis,
     pub(super) next_request: u64,
     /// A single request, and its answer.
     pub(super) asked: Option<(RequestTicket, Option<Reply>)>,
@@ -67,6 +77,10 @@
             nodes,
             operators: (0..OPERATORS).map(Operator::new).collect(),
             history: History::default(),
+            obligations: Obligations::default(),
+            ambush: None,
+            late_calls: Vec::new(),
+            minority_at: 0,
             next_request: 0,
             asked: None,
             fault_percent,
@@ -82,6 +96,9 @@
     /// Steps under faults and calls; the faults of some steps are left out.
     pub fn run_faulty(&mut self, steps: usize, left_out: &BTreeSet<usize>) {
         for step in 0..steps {
+            if !self.history.violations.is_empty() {
+                return;
+            }
             self.step_faults(step, left_out);
             self.step_operators();
             let pause = self.random.random_range(5..60);
@@ -91,6 +108,9 @@
 
     /// Ends all faults, and checks that the system comes back and holds what it told.
     pub fn run_calm(&mut self) {
+        if !self.history.violations.is_empty() {
+            return;
+        }
         self.end_faults();
         let calm_since = self.now;
         let Some(version) = self.write_until_acknowledged(ACKNOWLEDGE_MS) else {
@@ -205,6 +225,7 @@
         while let Some(next) = self.next_time().filter(|next| *next <= until) {
             self.now = self.now.max(next);
             self.deliver();
+            self.deliver_late_calls();
             for node in 0..self.nodes.len() {
                 self.run_node(node);
             }
@@ -219,7 +240,8 @@
             let disk = node.disk.next_due().filter(|_| node.replica.is_some());
             [start, tick, disk.map(|due| due.max(node.frozen_until))].into_iter().flatten()
         });
-        nodes.chain(self.network.next_due()).min()
+        let late = self.late_calls.iter().map(|call| call.due);
+        nodes.chain(late).chain(self.network.next_due()).min()
     }
 
     fn deliver(&mut self) {
@@ -247,8 +269,13 @@
         }
         while let Some(finished) = self.nodes[number].disk.finish(now) {
             let ticket = finished.ticket;
-            let event =
-                if finished.durable { Event::Persisted { ticket } } else { Event::PersistFailed { ticket } };
+            let event = match &finished.durable {
+                Some(records) => {
+                    self.check_written(number, records);
+                    Event::Persisted { ticket }
+                }
+                None => Event::PersistFailed { ticket },
+            };
             self.event(number, event);
         }
         let node = &mut self.nodes[number];
@@ -259,15 +286,15 @@
         }
     }
 
-    /// As a storage does: the snapshot takes the place of the log. Writes under way come after it.
+    /// As a storage does: the snapshot takes the place of the log while no write is under way.
     fn take_snapshot(&mut self, number: usize) {
-        let node = &mut self.nodes[number];
+        let node = &self.nodes[number];
         if !node.disk.wants_snapshot() || node.disk.room != Room::Enough {
             return;
         }
-        if let Some(replica) = &node.replica {
-            node.disk.replace(replica.snapshot());
-        }
+        let Some(records) = node.replica.as_ref().map(Replica::snapshot) else { return };
+        self.check_snapshot(number, &records);
+        self.nodes[number].disk.replace(records);
     }
 
     fn start(&mut self, number: usize) {
@@ -295,6 +322,7 @@
         node.start_at = None;
         node.next_tick = self.now + TICK;
         node.committed_version = 0;
+        self.check_recovered(number);
         self.carry_out(number, effects);
     }
 
@@ -314,15 +342,23 @@
         let now = self.now;
         let Some(replica) = &mut self.nodes[number].replica else { return };
         let effects = replica.handle(now, event);
-        self.carry_out(number, effects);
+        let strike = self.sprung_by(&effects);
+        if !matches!(strike, Some(Strike::KillBefore { .. })) {
+            self.carry_out(number, effects);
+        }
+        if let Some(strike) = strike {
+            self.strike(number, strike);
+        }
     }
 
     fn carry_out(&mut self, number: usize, effects: Vec<Effect>) {
+        self.check_adopted(number);
         let now = self.now;
         let from = self.nodes[number].address;
         for effect in effects {
             match effect {
                 Effect::Send { to, message } => {
+                    self.check_sent(number, &message);
                     self.network.send(Delivery { from, to, message }, now, &mut self.random);
                 }
                 Effect::Persist { ticket, records } => {
@@ -330,7 +366,9 @@
                 }
                 Effect::Reply { ticket, reply } => self.on_reply(ticket, reply),
                 Effect::Committed(document) => {
-                    self.history.commit(&document, now);
+                    if self.history.commit(&document, now) {
+                        self.check_copies();
+                    }
                     let node = &mut self.nodes[number];
                     if document.version <= node.committed_version {
                         let text = format!("{now}: {from} went back to version {}", document.version);
--- a/crates/lockusher-control/src/state.rs
+++ b/crates/lockusher-control/src/state.rs
@@ -55,6 +55,12 @@
         self.history.contains(&digest)
     }
 
+    /// The same without the digests of configurations taken, as a mistake leaves it.
+    #[cfg(feature = "simulation")]
+    pub(crate) fn without_history(&self) -> Self {
+        Self { history: Arc::default(), ..self.clone() }
+    }
+
     /// The state after this configuration has been taken.
     pub fn with(&self, document: Document) -> Self {
         let lineage = Lineage(
--- a/crates/lockusher-control/tests/scenarios.rs
+++ b/crates/lockusher-control/tests/scenarios.rs
@@ -16,7 +16,7 @@
 
 /// All nodes are in the chain, and something has been written.
 fn whole_system(replicas: usize, seed: u64) -> World {
-    let mut world = World::new(SimulationOptions { replicas, seed, steps: 0, mistake: None });
+    let mut world = World::new(SimulationOptions { replicas, seed, ..SimulationOptions::default() });
     assert!(world.run_until_whole(CATCH_UP_MS).is_some(), "first start:\n{}", world.describe());
     assert!(world.write().is_some(), "first write:\n{}", world.describe());
     world
@@ -273,3 +273,30 @@
         assert!(counters.digest_repairs + counters.read_repairs > 0, "{counters:?}");
     }
 }
+
+/// The new machine comes first, then the former one leaves as planned. The new one has had its time by then, so that as many
+/// disks as are tolerated may be lost right after the departure.
+#[parameterized(
+    head_of_3 = { 3, 0, 1 },
+    tail_of_3 = { 3, 2, 1 },
+    head_of_5 = { 5, 0, 2 },
+    middle_of_5 = { 5, 2, 2 },
+)]
+fn disks_are_lost_right_after_a_planned_departure(replicas: usize, place: usize, lost: usize) {
+    for seed in 0..10 {
+        let mut world = whole_system(replicas, seed);
+        let leaver = world.chain()[place];
+        world.add(10);
+        assert_whole(&mut world, CATCH_UP_MS);
+        assert_eq!(world.voters(), replicas + 1);
+        world.stop(leaver);
+        world.remove(leaver);
+        for victim in world.chain().into_iter().rev().take(lost) {
+            world.kill(victim, 200);
+            world.wipe(victim);
+        }
+        assert_writes(&mut world, ACKNOWLEDGE_MS);
+        assert_whole(&mut world, CATCH_UP_MS);
+        assert_eq!(world.voters(), replicas);
+    }
+}
--- a/crates/lockusher-control/tests/simulation.rs
+++ b/crates/lockusher-control/tests/simulation.rs
@@ -19,7 +19,13 @@
     steps: usize,
 ) -> Option<(u64, Outcome)> {
     (0..seeds).find_map(|seed| {
-        let outcome = simulate_with(SimulationOptions { replicas, seed, steps, mistake });
+        let outcome = simulate_with(SimulationOptions {
+            replicas,
+            seed,
+            steps,
+            mistake,
+            ..SimulationOptions::default()
+        });
         (!outcome.violations.is_empty()).then_some((seed, outcome))
     })
 }
@@ -32,7 +38,7 @@
     nine = { 9 },
 )]
 fn a_calm_first_start_serves(replicas: usize) {
-    let mut world = World::new(SimulationOptions { replicas, seed: 1, steps: 0, mistake: None });
+    let mut world = World::new(SimulationOptions { replicas, seed: 1, ..SimulationOptions::default() });
     world.run_calm();
     let state = world.describe();
     let outcome = world.into_outcome();
@@ -72,11 +78,14 @@
 fn a_failing_run_is_shrunk_to_faults_that_are_all_needed() {
     let mistake = Some(Mistake::VoteAfterWipe);
     let (seed, whole) = first_violation(3, mistake, 1000, 500).expect("the mistake is found");
-    let shrunk = shrink(SimulationOptions { replicas: 3, seed, steps: 500, mistake }).expect("it fails");
+    let shrunk =
+        shrink(SimulationOptions { replicas: 3, seed, steps: 500, mistake, ..SimulationOptions::default() })
+            .expect("it fails");
     assert!(!shrunk.violations.is_empty());
     assert!(shrunk.faults.len() < whole.faults.len(), "{shrunk:?} of {} faults", whole.faults.len());
     // Any one more that is left out lets the run keep its promises.
-    let options = SimulationOptions { replicas: 3, seed, steps: shrunk.steps, mistake };
+    let options =
+        SimulationOptions { replicas: 3, seed, steps: shrunk.steps, mistake, ..SimulationOptions::default() };
     let kept: BTreeSet<usize> = shrunk.faults.iter().map(|fault| fault.step).collect();
     let others: BTreeSet<usize> = (0..shrunk.steps).filter(|step| !kept.contains(step)).collect();
     assert!(!simulate_without(options, &others).violations.is_empty());
@@ -88,5 +97,8 @@
 
 #[test]
 fn a_run_that_keeps_its_promises_is_not_shrunk() {
-    assert!(shrink(SimulationOptions { replicas: 3, seed: 1, steps: 50, mistake: None }).is_none());
+    assert!(
+        shrink(SimulationOptions { replicas: 3, seed: 1, steps: 50, ..SimulationOptions::default() })
+            .is_none()
+    );
 }
--- a/crates/lockusher-lab/src/chain.rs
+++ b/crates/lockusher-lab/src/chain.rs
@@ -7,7 +7,8 @@
 use std::time::Instant;
 
 use anyhow::ensure;
-use lockusher_control::simulation::{Outcome, SimulationOptions, shrink, simulate};
+use lockusher_control::Mistake;
+use lockusher_control::simulation::{Checks, Outcome, SimulationOptions, shrink, simulate_with};
 
 /// The simulation has nodes at addresses of one network.
 const MOST_REPLICAS: usize = 9;
@@ -25,6 +26,17 @@
     pub runs: u64,
     /// Threads that share them.
     pub threads: NonZero<usize>,
+    /// A mistake that all nodes make.
+    pub mistake: Option<Mistake>,
+    /// What the runs are judged by.
+    pub checks: Checks,
+}
+
+impl ChainRuns {
+    fn simulation(&self, seed: u64) -> SimulationOptions {
+        let ChainRuns { replicas, steps, mistake, checks, .. } = *self;
+        SimulationOptions { replicas, seed, steps, mistake, checks }
+    }
 }
 
 /// A run that broke a promise.
@@ -129,7 +141,7 @@
             return totals;
         }
         let seed = options.seed + run;
-        totals.add(seed, simulate(options.replicas, seed, options.steps));
+        totals.add(seed, simulate_with(options.simulation(seed)));
     }
 }
 
@@ -156,7 +168,7 @@
         }
     }
     if let Some(first) = totals.failed.first() {
-        report_shrunk(SimulationOptions { replicas, seed: first.seed, steps, mistake: None }, output)?;
+        report_shrunk(options.simulation(first.seed), output)?;
         write!(output, "failing_seed={} ", first.seed)?;
     }
     writeln!(
--- a/crates/lockusher-lab/src/lib.rs
+++ b/crates/lockusher-lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, scripted and on loopback, and what is measured with them. Nothing here is shipped.
 
 pub mod chain;
+pub mod chain_mistakes;
 pub mod check;
 pub mod demo;
 pub mod fleet;
--- a/crates/lockusher-lab/src/main.rs
+++ b/crates/lockusher-lab/src/main.rs
@@ -6,7 +6,9 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use lockusher::interface::Span;
-use lockusher_lab::{chain, demo, http2, large, mixers, soak, standstill};
+use lockusher_control::Mistake;
+use lockusher_control::simulation::Checks;
+use lockusher_lab::{chain, chain_mistakes, demo, http2, large, mixers, soak, standstill};
 use lockusher_registry::core::follow::Protocol;
 
 #[derive(Parser)]
@@ -161,6 +163,27 @@
         #[arg(long)]
         threads: Option<std::num::NonZero<usize>>,
     },
+    /// How often the same shows each mistake that is planted in it; a line for each.
+    ChainMistakes {
+        /// Control nodes at the start, 1 to 9.
+        #[arg(long)]
+        replicas: usize,
+        /// Of the first run; further runs have the seeds that follow.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Steps under faults in each run.
+        #[arg(long, default_value_t = 500)]
+        steps: usize,
+        /// Runs with each mistake.
+        #[arg(long, default_value_t = 200)]
+        runs: u64,
+        /// Judge by what operators and agents are told alone, not by what nodes owe each other.
+        #[arg(long)]
+        told_only: bool,
+        /// One mistake, by its name in lockusher_control::Mistake.
+        #[arg(long)]
+        mistake: Option<String>,
+    },
     /// The mixer itself, as the stories start it.
     #[command(hide = true, disable_help_flag = true)]
     Mixer {
@@ -225,9 +248,19 @@
         }
         Command::Chain { replicas, seed, steps, runs, threads } => {
             let threads = threads.unwrap_or_else(chain::default_threads);
-            let options = chain::ChainRuns { replicas, seed, steps, runs, threads };
+            let (mistake, checks) = (None, Checks::Everything);
+            let options = chain::ChainRuns { replicas, seed, steps, runs, threads, mistake, checks };
             chain::run(&options, &mut std::io::stdout().lock())
         }
+        Command::ChainMistakes { replicas, seed, steps, runs, told_only, mistake } => {
+            let threads = chain::default_threads();
+            let checks = if told_only { Checks::ToldOnly } else { Checks::Everything };
+            let options = chain::ChainRuns { replicas, seed, steps, runs, threads, mistake: None, checks };
+            match mistake.map(|name| Mistake::named(&name).ok_or(name)).transpose() {
+                Ok(one) => chain_mistakes::run(&options, one, &mut std::io::stdout().lock()),
+                Err(name) => Err(anyhow::anyhow!("mistake: {name} is none of {:?}", Mistake::ALL)),
+            }
+        }
         Command::Large { protocol, entries, changes, seconds } => {
             large::run(protocol.into(), entries, changes, Duration::from_secs(seconds))
         }
--- a/crates/lockusher-lab/tests/chain.rs
+++ b/crates/lockusher-lab/tests/chain.rs
@@ -2,13 +2,13 @@
 
 use std::num::NonZero;
 
-use lockusher_control::simulation::{Outcome, simulate};
+use lockusher_control::simulation::{Checks, Outcome, simulate};
 use lockusher_lab::chain::{ChainRuns, ChainTotals, report, run, simulate_all};
 use rstest::rstest;
 
 fn options(replicas: usize, runs: u64, threads: usize) -> ChainRuns {
     let threads = NonZero::new(threads).expect("at least one thread");
-    ChainRuns { replicas, seed: 40, steps: 60, runs, threads }
+    ChainRuns { replicas, seed: 40, steps: 60, runs, threads, mistake: None, checks: Checks::Everything }
 }
 
 fn lines(output: Vec<u8>) -> Vec<String> {
