A control node back at once knows what is committed; a table of planted mistakes

Cause: a member that was killed and back before anybody missed it stayed in the chain, but its disk told only where it stood when its state was written. In an epoch without writes the word of what is committed never fitted, and it fed its agents nothing until the next write or view.

Change: a member takes the head's word by the lineage of its state; its position follows. A refusal is checked against what was in place.

--- a/crates/lockusher-control/src/replica/chain.rs
+++ b/crates/lockusher-control/src/replica/chain.rs
@@ -218,10 +218,18 @@
 
     // What is committed
 
+    /// The head says what is committed. A member that was restarted holds that state, too, though its disk tells only where
+    /// it stood when the state was written.
     pub(super) fn on_committed(&mut self, sender: Identity, index: u64, lineage: Lineage) {
+        let same = self.holding.pending.is_none() && self.holding.state.lineage() == lineage;
+        if !self.is_view_head(sender) || !(same || self.makes(Mistake::CommittedUnchecked)) {
+            return;
+        }
         let committed = Position { epoch: self.epoch(), index };
-        let same = self.holding.position == committed && self.holding.state.lineage() == lineage;
-        if self.is_view_head(sender) && (same || self.makes(Mistake::CommittedUnchecked)) {
+        if self.replicates() {
+            self.holding.position = committed;
+        }
+        if self.holding.position == committed {
             self.note_own_committed();
         }
     }
--- a/crates/lockusher-control/src/simulation/calls.rs
+++ b/crates/lockusher-control/src/simulation/calls.rs
@@ -102,11 +102,21 @@
 
     /// Asks one machine and waits for its answer.
     pub(super) fn ask(&mut self, number: usize, request: Request) -> Option<Reply> {
+        self.ask_for(number, request, OPERATOR_PATIENCE)
+    }
+
+    /// Asks one machine and waits for its answer for this time. It may still come, see [`World::await_answer`].
+    pub fn ask_for(&mut self, number: usize, request: Request, patience: Millis) -> Option<Reply> {
         self.next_request += 1;
         let ticket = RequestTicket(self.next_request);
         self.asked = Some((ticket, None));
         self.event(number, Event::Request { ticket, request });
-        let deadline = self.now + OPERATOR_PATIENCE;
+        self.await_answer(patience)
+    }
+
+    /// Waits for the answer to the last question.
+    pub fn await_answer(&mut self, patience: Millis) -> Option<Reply> {
+        let deadline = self.now + patience;
         while self.now < deadline {
             if let Some((_, Some(reply))) = &self.asked {
                 return Some(reply.clone());
@@ -145,7 +155,7 @@
             Reply::Conflict { current } | Reply::NotNewer { current } => {
                 operator.change = None;
                 operator.believed = current;
-                self.history.refuse(change.document.digest, self.now);
+                self.history.refuse(change.document.digest, call.floor, self.now);
             }
             Reply::Unavailable => self.outcome.unanswered += 1,
             Reply::Document(_) => {
--- a/crates/lockusher-control/src/simulation/history.rs
+++ b/crates/lockusher-control/src/simulation/history.rs
@@ -60,16 +60,25 @@
         }
     }
 
-    /// A configuration was refused.
-    pub fn refuse(&mut self, digest: Digest, now: Millis) {
+    /// A configuration was refused by a call that began when `in_place` was the newest version.
+    pub fn refuse(&mut self, digest: Digest, in_place: u64, now: Millis) {
+        let newest = self.newest_version();
         let Some(sent) = self.sent.get_mut(&digest) else { return };
         sent.refused = true;
+        let (version, if_match) = (sent.version, sent.if_match);
         if sent.acknowledged || sent.committed {
-            let version = sent.version;
             self.violations.push(format!("{now}: version {version} refused after it was taken"));
+        } else if version > if_match && in_place == if_match && newest == if_match {
+            let text =
+                format!("{now}: version {version} refused, although {if_match} was in place all the time");
+            self.violations.push(text);
         }
     }
 
+    /// The newest version that was committed; 0 before the first.
+    pub fn newest_version(&self) -> u64 {
+        self.newest_committed().map_or(0, |(version, _)| version)
+    }
     /// The newest configuration that a node holds to be committed.
     pub fn newest_committed(&self) -> Option<(u64, Digest)> {
         self.committed.last_key_value().map(|(version, digest)| (*version, *digest))
--- a/crates/lockusher-control/src/simulation/losses.rs
+++ b/crates/lockusher-control/src/simulation/losses.rs
@@ -132,6 +132,10 @@
             return;
         }
         let number = self.aim();
+        if self.nodes[number].disk_lost {
+            // It stands for a loss already; with it gone there would be two.
+            return;
+        }
         match self.fault_random.random_range(0..3) {
             0 => self.replace_after_loss(number, false),
             1 => self.replace_after_loss(number, true),
--- a/crates/lockusher-control/src/simulation/operator.rs
+++ b/crates/lockusher-control/src/simulation/operator.rs
@@ -39,7 +39,7 @@
 pub struct Call {
     pub ticket: RequestTicket,
     pub deadline: Millis,
-    /// Highest version told when a read began.
+    /// Highest version told when it began.
     pub floor: u64,
     pub is_read: bool,
 }
--- /dev/null
+++ b/crates/lockusher-control/tests/joining.rs
@@ -0,0 +1,249 @@
+//! Steps by which a node joins the chain, message by message; each guard is also left out to show that its test notices.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use lockusher_control::{
+    Document, DurableRecord, Effect, Event, Identity, Message, Mistake, PersistTicket, Position, Replica,
+    ReplicaSetup, ReplicatedState, View,
+    message::{
+        AcceptedView, Ballot, Health, Heartbeat, MessageBody, Payload, Transfer, TransferAnswer,
+        TransferPurpose,
+    },
+};
+use yare::parameterized;
+
+/// Epoch of the view in which the first two of three voters are the chain.
+const EPOCH: u64 = 2;
+const TICK: u64 = 50;
+/// Within this time a member notices that the other one is gone, and seals itself.
+const LIMIT: u64 = 5000;
+
+fn address(host: u8) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, 0, host].into(), 7000)
+}
+
+fn identity(host: u8) -> Identity {
+    Identity::of_first_start(address(host))
+}
+
+fn setup(host: u8, first_start: bool) -> ReplicaSetup {
+    ReplicaSetup {
+        address: address(host),
+        seeds: vec![address(1), address(2), address(3)],
+        first_start,
+        tolerated_losses: 1,
+        acknowledge_ms: 4000,
+        catch_up_ms: 4000,
+        random_seed: u64::from(host),
+    }
+}
+
+fn view(epoch: u64, chain: &[u8]) -> View {
+    let chain = chain.iter().map(|host| identity(*host)).collect();
+    View { epoch, chain, ..View::first(&[address(1), address(2), address(3)]) }
+}
+
+fn document(version: u64) -> Document {
+    Document::new(version, Arc::from(version.to_string().into_bytes()))
+}
+
+fn state(versions: &[u64]) -> ReplicatedState {
+    versions.iter().fold(ReplicatedState::default(), |state, version| state.with(document(*version)))
+}
+
+/// A replica whose writes become durable at once, and what it did.
+struct Node {
+    replica: Replica,
+    now: u64,
+    /// All that is on its disk.
+    disk: Vec<DurableRecord>,
+    /// Messages since the last look, heartbeats aside.
+    sent: Vec<(SocketAddrV4, MessageBody)>,
+}
+
+impl Node {
+    /// The seed with this number, in the view of [`EPOCH`].
+    fn in_view(host: u8, mistake: Option<Mistake>) -> Node {
+        let mut node = Node::start(setup(host, true), Vec::new(), 0, mistake);
+        node.hear(1, 1, MessageBody::NewView(view(EPOCH, &[1, 2])));
+        node
+    }
+
+    fn start(setup: ReplicaSetup, disk: Vec<DurableRecord>, now: u64, mistake: Option<Mistake>) -> Node {
+        let (replica, effects) = match mistake {
+            None => Replica::new(setup, disk.clone(), now),
+            Some(mistake) => Replica::with_mistake(setup, disk.clone(), now, mistake),
+        };
+        let mut node = Node { replica, now, disk, sent: Vec::new() };
+        node.carry_out(effects);
+        node
+    }
+
+    /// The process is killed and starts again from its disk.
+    fn restart(self, host: u8, mistake: Option<Mistake>) -> Node {
+        Node::start(setup(host, false), self.disk, self.now, mistake)
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        let mut tickets: Vec<PersistTicket> = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { message, .. } if matches!(message.body, MessageBody::Heartbeat(_)) => {}
+                Effect::Send { to, message } => self.sent.push((to, message.body)),
+                Effect::Persist { ticket, records } => {
+                    self.disk.extend(records);
+                    tickets.push(ticket);
+                }
+                _ => {}
+            }
+        }
+        for ticket in tickets {
+            self.event(Event::Persisted { ticket });
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let effects = self.replica.handle(self.now, event);
+        self.carry_out(effects);
+    }
+
+    fn hear(&mut self, host: u8, epoch: u64, body: MessageBody) {
+        let message = Message { sender: identity(host), epoch, body };
+        self.event(Event::Message { from: address(host), message });
+    }
+
+    fn hear_heartbeat(&mut self, host: u8) {
+        let heartbeat = Heartbeat {
+            health: Health::Good,
+            position: Position::default(),
+            lineage: ReplicatedState::default().lineage(),
+            committed: Position::default(),
+            committed_lineage: None,
+            committed_version: 0,
+            hears: vec![self.replica.identity()],
+        };
+        self.hear(host, EPOCH, MessageBody::Heartbeat(heartbeat));
+    }
+
+    /// Time passes, in which only the third node is heard, until a message of this kind is sent; the message.
+    fn wait_for(&mut self, is_it: impl Fn(&MessageBody) -> bool) -> MessageBody {
+        let deadline = self.now + LIMIT;
+        while self.now < deadline {
+            if let Some((_, body)) = self.sent.iter().find(|(_, body)| is_it(body)) {
+                return body.clone();
+            }
+            self.now += TICK;
+            self.hear_heartbeat(3);
+            self.event(Event::Tick);
+        }
+        panic!("not sent within {LIMIT} ms: {:?}", self.sent);
+    }
+
+    fn holds(&self, version: u64) -> bool {
+        self.disk.iter().any(|record| match record {
+            DurableRecord::Entry { document, .. } => document.version == version,
+            DurableRecord::State { state, .. } => state.version() == version,
+            _ => false,
+        })
+    }
+
+    fn version(&self) -> u64 {
+        let state = self.replica.snapshot().into_iter().find_map(|record| match record {
+            DurableRecord::State { state, .. } => Some(state),
+            _ => None,
+        });
+        state.map_or(0, |state| state.version())
+    }
+}
+
+fn is_hand_over(body: &MessageBody) -> bool {
+    matches!(body, MessageBody::Transfer(transfer) if transfer.purpose == TransferPurpose::Join)
+}
+
+/// The second member of the chain, which has sealed itself and handed over its state, as the head is silent.
+fn sealed_member(mistake: Option<Mistake>) -> Node {
+    let mut member = Node::in_view(2, mistake);
+    member.wait_for(is_hand_over);
+    member
+}
+
+fn entry(version: u64) -> MessageBody {
+    let previous = ReplicatedState::default().lineage();
+    MessageBody::Append { index: 1, previous, document: document(version), relay: true }
+}
+
+#[parameterized(
+    guarded = { None, false },
+    left_out = { Some(Mistake::EntryAfterSeal), true },
+)]
+fn a_sealed_member_takes_no_entries(mistake: Option<Mistake>, taken: bool) {
+    let mut member = sealed_member(mistake);
+    member.hear(1, EPOCH, entry(7));
+    assert_eq!(member.holds(7), taken);
+}
+
+#[parameterized(
+    guarded = { None, false },
+    left_out = { Some(Mistake::SealForgotten), true },
+)]
+fn a_seal_holds_after_a_restart(mistake: Option<Mistake>, taken: bool) {
+    let mut member = sealed_member(mistake).restart(2, mistake);
+    member.hear(1, EPOCH, entry(7));
+    assert_eq!(member.holds(7), taken);
+}
+
+/// A state of the head that was long on its way reaches a node that holds the sealed state, which goes further.
+#[parameterized(
+    guarded = { None, 6 },
+    left_out = { Some(Mistake::OlderTransferTaken), 5 },
+)]
+fn an_older_state_handed_over_is_not_taken(mistake: Option<Mistake>, version: u64) {
+    let mut joiner = Node::in_view(3, mistake);
+    let transfer = |purpose, index, versions: &[u64]| {
+        let state = state(versions);
+        let position = Position { epoch: EPOCH, index };
+        let lineage = state.lineage();
+        MessageBody::Transfer(Transfer { purpose, position, lineage, payload: Payload::Whole(state) })
+    };
+    joiner.hear(2, EPOCH, transfer(TransferPurpose::Join, Position::SEALED, &[5, 6]));
+    assert_eq!(joiner.version(), 6);
+    joiner.hear(1, EPOCH, transfer(TransferPurpose::Learn, 1, &[5]));
+    assert_eq!(joiner.version(), version);
+}
+
+/// A voter reports a view that it accepted under a lower ballot: that one is proposed.
+#[parameterized(
+    guarded = { None, true },
+    left_out = { Some(Mistake::AcceptedPassedOver), false },
+)]
+fn a_view_accepted_before_is_taken_over(mistake: Option<Mistake>, taken_over: bool) {
+    let mut member = sealed_member(mistake);
+    let held = TransferAnswer {
+        purpose: TransferPurpose::Join,
+        position: Position { epoch: EPOCH, index: Position::SEALED },
+        lineage: ReplicatedState::default().lineage(),
+        held: true,
+    };
+    member.hear(3, EPOCH, MessageBody::TransferAnswer(held));
+    let prepare = member.wait_for(|body| matches!(body, MessageBody::Prepare { .. }));
+    let MessageBody::Prepare { ballot } = prepare else { unreachable!("it was waited for") };
+    let earlier = view(EPOCH + 1, &[1, 2, 3]);
+    let lower = Ballot { round: 0, proposer: identity(1).0 };
+    let accepted = Some(AcceptedView { ballot: lower, view: earlier.clone() });
+    member.hear(3, EPOCH, MessageBody::Promised { ballot, accepted });
+    let accept = member.wait_for(|body| matches!(body, MessageBody::Accept { .. }));
+    let MessageBody::Accept { view: proposed, .. } = accept else { unreachable!("it was waited for") };
+    assert_eq!(proposed == earlier, taken_over);
+}
+
+/// The head of an epoch that has ended, to which word of that hasn't come, sends an entry down.
+#[parameterized(
+    guarded = { None, false },
+    left_out = { Some(Mistake::OlderEpochsCount), true },
+)]
+fn an_entry_of_an_older_epoch_is_not_taken(mistake: Option<Mistake>, taken: bool) {
+    let mut member = Node::in_view(2, mistake);
+    member.hear(3, EPOCH, MessageBody::NewView(view(EPOCH + 1, &[1, 2, 3])));
+    member.hear(1, EPOCH, entry(7));
+    assert_eq!(member.holds(7), taken);
+}
--- a/crates/lockusher-control/tests/scenarios.rs
+++ b/crates/lockusher-control/tests/scenarios.rs
@@ -300,3 +300,21 @@
         assert_eq!(world.voters(), replicas);
     }
 }
+
+/// A member that is back before anybody missed it, in an epoch in which nothing was written: it is told what is committed, so
+/// that it goes on feeding its agents.
+#[parameterized(middle_of_3 = { 3, 1 }, tail_of_3 = { 3, 2 }, middle_of_5 = { 5, 2 })]
+fn a_member_back_at_once_knows_what_is_committed(replicas: usize, place: usize) {
+    for seed in 0..10 {
+        let mut world = whole_system(replicas, seed);
+        let other = world.chain()[0];
+        world.kill(other, 2000);
+        assert!(world.run_until(FAILOVER_MS, |world| !world.chain().contains(&other)).is_some());
+        world.run_until(2000, |_| false);
+        assert_whole(&mut world, CATCH_UP_MS);
+        let victim = world.chain()[place];
+        world.kill(victim, 20);
+        assert!(world.run_until(500, |world| world.replica(victim).is_some()).is_some());
+        assert_whole(&mut world, SETTLE_MS);
+    }
+}
