Simulation: only votes that were told bind; durable ones count for the majority

Cause: the check took an acceptance on a full disk, whose view was refused and which was therefore never told, for a promise to others. Change: obligations by what was told, the majority also by what is durable.

--- a/crates/lockusher-control/src/simulation/obligations.rs
+++ b/crates/lockusher-control/src/simulation/obligations.rs
@@ -27,7 +27,8 @@
     entries: BTreeMap<(u64, u64), Digest>,
 }
 
-/// What the owner of a disk has told in an epoch, or holds durably.
+/// What the owner of a disk has told in an epoch. A vote that is durable and wasn't told binds nobody: a disk that refuses
+/// writes may hold one of an epoch whose view it lacks.
 #[derive(Debug, Default)]
 struct Told {
     /// Ballots promised, each with that of the view which it reported as accepted before.
@@ -104,25 +105,20 @@
         ballot: Ballot,
         disk: &Contents,
     ) -> Result<(), Breach> {
-        self.accepts(sender, epoch, ballot)?;
-        if disk.accepted(epoch) < Some(ballot) {
-            return Err(format!("{sender} answers an acceptance in epoch {epoch} that isn't on its disk"));
-        }
-        Ok(())
-    }
-
-    fn accepts(&mut self, sender: Identity, epoch: u64, ballot: Ballot) -> Result<(), Breach> {
         self.acceptances.entry((epoch, ballot)).or_default().insert(sender);
         let told = self.told(sender, epoch);
         told.accepted.insert(ballot);
         let higher = (Bound::Excluded(ballot), Bound::Unbounded);
         let broken = told.promises.range(higher).find(|(_, reported)| **reported < Some(ballot));
-        match broken {
-            Some((promised, _)) => {
-                Err(format!("{sender} accepts {ballot:?} in epoch {epoch} after it promised {promised:?}"))
-            }
-            None => Ok(()),
+        if let Some((promised, _)) = broken {
+            return Err(format!(
+                "{sender} accepts {ballot:?} in epoch {epoch} after it promised {promised:?}"
+            ));
         }
+        if disk.accepted(epoch) < Some(ballot) {
+            return Err(format!("{sender} answers an acceptance in epoch {epoch} that isn't on its disk"));
+        }
+        Ok(())
     }
 
     fn confirmed(&mut self, sender: Identity, epoch: u64) -> Result<(), Breach> {
@@ -186,7 +182,7 @@
             match record {
                 DurableRecord::Accept { epoch, ballot, view } => {
                     self.asked.entry((*epoch, *ballot)).or_insert_with(|| view.clone());
-                    self.accepts(identity, *epoch, *ballot)?;
+                    self.acceptances.entry((*epoch, *ballot)).or_default().insert(identity);
                 }
                 DurableRecord::Entry { position, .. } | DurableRecord::State { position, .. } => {
                     self.keeps_seal(identity, *position, disk)?;
