--- a/crates/lockusher-proxy/src/forward.rs
+++ b/crates/lockusher-proxy/src/forward.rs
@@ -14,7 +14,6 @@
 use crate::prefill::read_small;
 use crate::relay::{Relay, is_event_stream, outcome_of};
 use crate::request::{ClientRequest, RequestError};
-use crate::routing::choose_service;
 use crate::send::{Accepted, NoAnswer, SendTerms, Sends, TimeUp, until};
 use crate::shared::Shared;
 use crate::upstream::exchange::{Exchange, SendFailure};
@@ -38,7 +37,7 @@
     let timeout = Duration::from_millis(route.timeout_ms);
     let allowed = request.patience.map_or(timeout, |patience| patience.min(timeout));
     let deadline = request.arrived + allowed;
-    let service = choose_service(route, shared.draw());
+    let service = shared.choose_service(route);
     let facts = facts(&request, route, service, deadline);
     let admission = shared.director.borrow_mut().admit(shared.clock.micros(), &facts);
     match admission {
--- a/crates/lockusher-proxy/src/lib.rs
+++ b/crates/lockusher-proxy/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod decision;
 pub mod serve;
+pub mod traffic_split;
 
 mod answer;
 mod client;
@@ -17,7 +18,6 @@
 mod prefill;
 mod relay;
 mod request;
-mod routing;
 mod send;
 mod shared;
 mod upstream;
--- a/crates/lockusher-proxy/src/shared.rs
+++ b/crates/lockusher-proxy/src/shared.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use lockusher_distribution::subscribe::FeedUpdate;
+use lockusher_model::configuration::Route;
 use lockusher_model::route_table::RouteTable;
 use lockusher_model::settings::NodeSettings;
 use lockusher_net::clock::Clock;
@@ -14,6 +15,7 @@
 use crate::descriptors::Descriptors;
 use crate::handle_reuse::HandleReuse;
 use crate::memory::BodyMemory;
+use crate::traffic_split::TrafficSplits;
 use crate::upstream::pool::Pool;
 
 /// Descriptors kept for files outside the disk folder, listeners and the runtime.
@@ -34,7 +36,7 @@
     pub(crate) body_memory: Rc<BodyMemory>,
     pub(crate) handle_reuse: HandleReuse,
     routes: RefCell<Option<Rc<RouteTable>>>,
-    random: RefCell<ChaCha8Rng>,
+    traffic_splits: RefCell<TrafficSplits>,
     holds_instances: Cell<bool>,
     stopping: Cell<bool>,
     requests_in_hand: Cell<u64>,
@@ -54,7 +56,7 @@
             body_memory: BodyMemory::new(body_bytes),
             handle_reuse: HandleReuse::default(),
             routes: RefCell::new(None),
-            random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            traffic_splits: RefCell::new(TrafficSplits::new(ChaCha8Rng::seed_from_u64(seed).random())),
             holds_instances: Cell::new(false),
             stopping: Cell::new(false),
             requests_in_hand: Cell::new(0),
@@ -70,6 +72,7 @@
             FeedUpdate::Configuration(configuration) => {
                 director.apply_configuration(now, configuration.clone());
                 self.pool.apply_configuration(&configuration);
+                self.traffic_splits.borrow_mut().keep_only(&configuration.routes);
                 *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(configuration)));
             }
             FeedUpdate::Instances { instances, .. } => {
@@ -102,9 +105,9 @@
         self.stopping.set(true);
     }
 
-    /// A uniform draw from 0..1.
-    pub(crate) fn draw(&self) -> f64 {
-        self.random.borrow_mut().random::<f64>()
+    /// The service that takes the next request of this route.
+    pub(crate) fn choose_service<'route>(&self, route: &'route Route) -> &'route str {
+        self.traffic_splits.borrow_mut().choose(route)
     }
 
     /// Counts a request until the guard is dropped, after the last byte of its answer.
