Scenarios: cut off for twenty seconds; hundreds of changes outlast a restart

Two named runs of the simulation for the points that had only random ones: a head or tail cut off for 20 s, both ways and one way, answers by the newest or not at all; 300 changes, then all are killed, one disk is lost, one node was away for half of them, one is replaced, and every change is known. No change of what is shipped.

--- a/crates/lockusher-control/src/simulation/scenario.rs
+++ b/crates/lockusher-control/src/simulation/scenario.rs
@@ -3,6 +3,7 @@
 use super::{
     disk::Room,
     node::Node,
+    operator::Change,
     world::{ACKNOWLEDGE_MS, World, address},
 };
 use crate::{Event, Millis, Replica, Reply, Request};
@@ -197,6 +198,16 @@
         self.ask(number, Request::Read)
     }
 
+    /// The newest version that was committed; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.history.newest_version()
+    }
+
+    /// The changes acknowledged to the one operator of [`World::write`], as they would be sent again.
+    pub fn acknowledged_changes(&self) -> Vec<Request> {
+        self.operators[0].acknowledged.iter().map(Change::request).collect()
+    }
+
     /// Broken promises so far.
     pub fn violations(&self) -> &[String] {
         &self.history.violations
--- a/crates/lockusher-control/tests/scenarios.rs
+++ b/crates/lockusher-control/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Single faults, with the time that the control state takes to get over them.
 
 use lockusher_control::{
-    Reply,
+    Reply, Request,
     simulation::{Room, SimulationOptions, World},
 };
 use yare::parameterized;
@@ -318,3 +318,80 @@
         assert_whole(&mut world, SETTLE_MS);
     }
 }
+
+/// Cut off for twenty seconds, while the others go on with changes: it answers nothing by its old state, and once the links are
+/// back nothing that it held takes effect.
+#[parameterized(
+    head_both_ways = { 0, true, true },
+    head_hears_nothing = { 0, true, false },
+    head_is_not_heard = { 0, false, true },
+    tail_both_ways = { 4, true, true },
+    tail_is_not_heard = { 4, false, true },
+)]
+fn a_node_cut_off_for_twenty_seconds_answers_by_the_newest_or_not_at_all(
+    place: usize,
+    deaf: bool,
+    mute: bool,
+) {
+    for seed in 0..4 {
+        let mut world = whole_system(5, seed);
+        let victim = world.chain()[place];
+        for other in (0..5).filter(|other| *other != victim) {
+            if deaf {
+                world.cut(other, victim);
+            }
+            if mute {
+                world.cut(victim, other);
+            }
+        }
+        let outdated = Request::Put { if_match: 0, version: 1_000_000, body: b"{}".as_slice().into() };
+        assert_eq!(world.ask_for(victim, outdated, 1), None, "a refusal needs a majority");
+        let until = world.now() + 20_000;
+        while world.now() < until {
+            assert_writes(&mut world, FAILOVER_MS + 1000);
+            let newest = world.version();
+            match world.read_at(victim) {
+                None | Some(Reply::Unavailable) => {}
+                Some(Reply::Document(Some(document))) => assert!(document.version >= newest),
+                other => panic!("{other:?}"),
+            }
+        }
+        let newest = world.version();
+        world.heal();
+        assert_whole(&mut world, CATCH_UP_MS);
+        assert_eq!(world.version(), newest, "what the node was asked before is in force nowhere");
+    }
+}
+
+/// Three hundred changes; then all are killed, and one comes back without its disk, one was away for half of the changes, and one
+/// is replaced. Every change that was acknowledged is known, to be told again.
+#[parameterized(three = { 3 }, five = { 5 })]
+fn hundreds_of_changes_outlast_a_restart(replicas: usize) {
+    let mut world = whole_system(replicas, 1);
+    let absent = world.chain()[1];
+    for number in 0..300 {
+        if number == 150 {
+            world.kill(absent, 1_000_000);
+        }
+        assert_writes(&mut world, FAILOVER_MS);
+    }
+    let newest = world.version();
+    let changes = world.acknowledged_changes();
+    assert_eq!(changes.len(), 301);
+    world.end_faults();
+    assert_whole(&mut world, CATCH_UP_MS);
+    let chain = world.chain();
+    for (place, number) in chain.iter().enumerate() {
+        world.kill(*number, 100 + 50 * place as u64);
+    }
+    world.wipe(chain[0]);
+    assert!(world.run_until_whole(ACKNOWLEDGE_MS + CATCH_UP_MS).is_some(), "{}", world.describe());
+    assert_eq!(world.version(), newest);
+    world.remove(chain[1]);
+    let successor = world.add(300);
+    assert_writes(&mut world, FAILOVER_MS);
+    assert_whole(&mut world, CATCH_UP_MS);
+    for change in changes.into_iter().step_by(30) {
+        assert_eq!(world.ask_for(successor, change, ACKNOWLEDGE_MS), Some(Reply::Accepted));
+    }
+}
