--- a/crates/lockusher-agent/src/error.rs
+++ b/crates/lockusher-agent/src/error.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddrV4;
 
 use derive_more::{Display, Error};
+use lockusher_model::settings::TooFewPorts;
 use lockusher_net::error::NetError;
 
 /// Why the agent can't run.
 #[derive(Debug, Display, Error)]
 pub enum AgentError {
+    #[display("{_0}")]
+    Ports(TooFewPorts),
     #[display("listener at {address}: {source}")]
     Listen { address: SocketAddrV4, source: NetError },
 }
--- a/crates/lockusher-agent/src/lib.rs
+++ b/crates/lockusher-agent/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod fleet_size;
 pub mod list_merge;
 pub mod peers;
+pub mod redirect;
 pub mod serve;
--- /dev/null
+++ b/crates/lockusher-agent/src/redirect.rs
@@ -0,0 +1,70 @@
+//! Sends operators who call at a machine without a control node on to one that has one.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, LOCATION, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use lockusher_distribution::reconnect::ControlNodePolicy;
+use lockusher_distribution::subscribe::SharedSubscriber;
+use lockusher_net::http::{self, WholeBody, answer};
+
+/// The largest body that is read to its end before the answer; a caller that sends more is cut off.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// When to come back while no control node is known, in seconds.
+const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("0.5");
+const TEXT: &str = "text/plain; charset=utf-8";
+
+/// Answers every call by the address of the control node that this agent is connected to, for ever. Control nodes serve
+/// operators at `operator_port`.
+pub async fn serve(
+    listener: TcpListener,
+    subscriber: Rc<SharedSubscriber<ControlNodePolicy>>,
+    operator_port: u16,
+) {
+    let handler = move |request| {
+        let subscriber = Rc::clone(&subscriber);
+        async move { redirect(&subscriber, operator_port, request).await }
+    };
+    http::serve(listener, handler).await;
+}
+
+async fn redirect(
+    subscriber: &SharedSubscriber<ControlNodePolicy>,
+    operator_port: u16,
+    request: Request<Incoming>,
+) -> Response<WholeBody> {
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    // A connection that is closed with part of the body unread is reset, and the answer may be lost.
+    skip_body(request.into_body()).await;
+    let node = subscriber.update_policy(|policy| policy.connected());
+    match node.and_then(|node| location(node, operator_port, &path)) {
+        Some(location) => {
+            let mut response = answer(StatusCode::TEMPORARY_REDIRECT, TEXT, "see Location\n");
+            response.headers_mut().insert(LOCATION, location);
+            response
+        }
+        None => {
+            let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, TEXT, "no control node is known\n");
+            response.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_S);
+            response
+        }
+    }
+}
+
+fn location(node: SocketAddrV4, operator_port: u16, path: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(&format!("http://{}:{operator_port}{path}", node.ip())).ok()
+}
+
+async fn skip_body(mut body: Incoming) {
+    let mut skipped = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        skipped += frame.data_ref().map_or(0, |data| data.len());
+        if skipped > MAX_BODY_BYTES {
+            return;
+        }
+    }
+}
--- a/crates/lockusher-agent/src/serve.rs
+++ b/crates/lockusher-agent/src/serve.rs
@@ -20,7 +20,7 @@
 use lockusher_distribution::serve::{self, SharedPublisher};
 use lockusher_distribution::subscribe::SharedSubscriber;
 use lockusher_distribution::subscriber::Subscriber;
-use lockusher_model::settings::NodeSettings;
+use lockusher_model::settings::{EdgeControl, InternalListener, NodeSettings, TooFewPorts};
 use lockusher_net::clock::Clock;
 
 use crate::error::AgentError;
@@ -28,6 +28,7 @@
 use crate::list_merge::{FRESH_MS, ListMerge};
 use crate::peers::message::EndRumor;
 use crate::peers::serve::{PeerSocket, fetch_configuration};
+use crate::redirect;
 
 /// Names the settings file, which is read again when no known control node answers.
 const SETTINGS_VARIABLE: &str = "LOCKUSHER_NODE_FILE";
@@ -36,9 +37,26 @@
 /// The shortest sleep between two looks at the age of the list.
 const SHORTEST_LOOK_MS: u64 = 50;
 
+/// Ports of the internal listeners; the same on all machines.
+#[derive(Clone, Copy)]
+struct Ports {
+    subscriptions: u16,
+    agents: u16,
+}
+
+impl Ports {
+    fn of(settings: &NodeSettings) -> Result<Self, TooFewPorts> {
+        Ok(Ports {
+            subscriptions: settings.internal_port(InternalListener::Subscriptions)?,
+            agents: settings.internal_port(InternalListener::Agents)?,
+        })
+    }
+}
+
 /// The state that the agent's tasks share.
 struct Agent {
     settings: NodeSettings,
+    ports: Ports,
     clock: Clock,
     subscriber: Rc<SharedSubscriber<ControlNodePolicy>>,
     publisher: Rc<SharedPublisher>,
@@ -49,12 +67,21 @@
 
 /// Runs the agent until `stop` is ready.
 pub async fn run(settings: NodeSettings, stop: impl Future<Output = ()>) -> Result<(), AgentError> {
-    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.internal_ports.0);
-    let listener =
-        lockusher_net::tcp::listen(address).await.map_err(|source| AgentError::Listen { address, source })?;
+    let ports = Ports::of(&settings).map_err(AgentError::Ports)?;
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, ports.subscriptions);
+    let listener = listen(address).await?;
     log::info!("agent {}: proxies are served at {address}", settings.node);
-    let agent = Rc::new(Agent::start(settings).await?);
+    let redirect_at = settings.control.filter(|_| settings.edge_control() == EdgeControl::Redirect);
+    let agent = Rc::new(Agent::start(settings, ports).await?);
     let peer_listener = listen(agent.peer_address()).await?;
+    let _redirecting = match redirect_at {
+        Some(address) => {
+            let listener = listen(address).await?;
+            let subscriber = Rc::clone(&agent.subscriber);
+            Some(compio::runtime::spawn(redirect::serve(listener, subscriber, address.port())))
+        }
+        None => None,
+    };
     let _closing = CloseOnDrop(Rc::clone(&agent.publisher));
     let _tasks = [
         compio::runtime::spawn(Rc::clone(&agent.subscriber).run()),
@@ -83,26 +110,28 @@
 }
 
 impl Agent {
-    async fn start(settings: NodeSettings) -> Result<Self, AgentError> {
+    async fn start(settings: NodeSettings, ports: Ports) -> Result<Self, AgentError> {
         let clock = Clock::start();
-        let policy = ControlNodePolicy::new(&settings.node, control_listeners(&settings), random_seed());
-        let address = peer_address(&settings);
+        let seeds = control_listeners(&settings, ports);
+        let policy = ControlNodePolicy::new(&settings.node, seeds, random_seed());
+        let address = peer_address(&settings, ports);
         let peers = PeerSocket::bind(address, random_seed(), clock)
             .await
             .map_err(|error| AgentError::Listen { address, source: error.into() })?;
         Ok(Agent {
-            subscriber: SharedSubscriber::new(Subscriber::new(identity(&settings)), policy, clock),
+            subscriber: SharedSubscriber::new(Subscriber::new(identity(&settings, ports)), policy, clock),
             publisher: SharedPublisher::new(Publisher::new(random_seed()), clock),
             peers,
             lists: RefCell::default(),
             fleet_size: RefCell::default(),
             settings,
+            ports,
             clock,
         })
     }
 
     fn peer_address(&self) -> SocketAddrV4 {
-        peer_address(&self.settings)
+        peer_address(&self.settings, self.ports)
     }
 
     /// Whether the control plane's list has gone stale.
@@ -220,7 +249,7 @@
                 continue;
             };
             let held = self.subscriber.read(|subscriber| subscriber.configuration().cloned());
-            match fetch_configuration(peer, identity(&self.settings), held, self.clock).await {
+            match fetch_configuration(peer, identity(&self.settings, self.ports), held, self.clock).await {
                 Ok(configuration) => {
                     log::info!("configuration {} comes from the agent {peer}", configuration.version);
                     self.subscriber.update(|subscriber| subscriber.offer_configuration(configuration));
@@ -243,7 +272,7 @@
         let Some(path) = std::env::var_os(SETTINGS_VARIABLE) else { return };
         match std::fs::read_to_string(&path).map(|text| NodeSettings::parse(&text)) {
             Ok(Ok(settings)) => {
-                let seeds = control_listeners(&settings);
+                let seeds = control_listeners(&settings, self.ports);
                 self.subscriber.update_policy(|policy| policy.set_seeds(seeds));
             }
             Ok(Err(faults)) => log::warn!("settings: {faults}"),
@@ -286,22 +315,21 @@
 }
 
 /// Where other agents reach this one, over UDP and TCP.
-fn peer_address(settings: &NodeSettings) -> SocketAddrV4 {
-    SocketAddrV4::new(settings.ip_address, settings.internal_ports.0 + 1)
+fn peer_address(settings: &NodeSettings, ports: Ports) -> SocketAddrV4 {
+    SocketAddrV4::new(settings.ip_address, ports.agents)
 }
 
-fn identity(settings: &NodeSettings) -> SubscriberIdentity {
+fn identity(settings: &NodeSettings, ports: Ports) -> SubscriberIdentity {
     SubscriberIdentity {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
-        agent_address: Some(peer_address(settings)),
+        agent_address: Some(peer_address(settings, ports)),
     }
 }
 
 /// Internal listeners of the control nodes that the settings name.
-fn control_listeners(settings: &NodeSettings) -> Vec<SocketAddrV4> {
-    let port = settings.internal_ports.0;
-    settings.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), port)).collect()
+fn control_listeners(settings: &NodeSettings, ports: Ports) -> Vec<SocketAddrV4> {
+    settings.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), ports.subscriptions)).collect()
 }
 
 /// Differs between processes.
--- a/crates/lockusher-control/src/document.rs
+++ b/crates/lockusher-control/src/document.rs
@@ -32,15 +32,33 @@
 pub struct Document {
     /// Version that the operator gave it; versions rise.
     pub version: u64,
+    /// Identifies the operator's request that made it, so that the same request is known when it is sent again: the
+    /// digest of the whole configuration sent, or of a patch with the version that it builds on.
+    pub request: Digest,
     /// Digest of `body`.
     pub digest: Digest,
-    /// The bytes exactly as the operator sent them.
+    /// The bytes exactly as the operator sent them, or what a patch made of the configuration before.
     pub body: Arc<[u8]>,
 }
 
 impl Document {
-    /// A document with the digest computed from the body.
+    /// A document that the operator sent whole.
     pub fn new(version: u64, body: Arc<[u8]>) -> Self {
-        Self { version, digest: Digest::of(&body), body }
+        let digest = Digest::of(&body);
+        Self { version, request: digest, digest, body }
     }
+
+    /// A document that a patch made, which [`patch_identity`] identifies.
+    pub fn patched(version: u64, request: Digest, body: Arc<[u8]>) -> Self {
+        Self { version, request, digest: Digest::of(&body), body }
+    }
+}
+
+/// Sets the identities of patches apart from digests of whole configurations.
+const PATCH_DOMAIN: &[u8] = b"PATCH\n";
+
+/// Identifies a patch: the version that it builds on and all of its bytes. Its own version alone doesn't, since two
+/// operators may give different changes the same number.
+pub fn patch_identity(if_match: u64, body: &[u8]) -> Digest {
+    Digest::of(PATCH_DOMAIN).extended(&if_match.to_le_bytes()).extended(body)
 }
--- a/crates/lockusher-control/src/message.rs
+++ b/crates/lockusher-control/src/message.rs
@@ -12,7 +12,7 @@
 };
 
 /// Number of the protocol that this release speaks.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 
 /// Number of an attempt to agree on a view; unique to its proposer.
 #[derive(Clone, Copy, Debug, Decode, Default, Encode, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/crates/lockusher-control/src/replica.rs
+++ b/crates/lockusher-control/src/replica.rs
@@ -3,14 +3,13 @@
 use std::{
     collections::{BTreeSet, VecDeque},
     net::SocketAddrV4,
-    sync::Arc,
 };
 
 use bitcode::{Decode, Encode};
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    Document, DurableRecord, Identity, Message, Millis, Position, View,
+    Digest, Document, DurableRecord, Identity, Message, Millis, Position, View,
     failure_detector::Peers,
     holding::Holding,
     message::MessageBody,
@@ -88,8 +87,16 @@
     Put {
         /// Version that it builds on; 0 for the first.
         if_match: u64,
+        document: Document,
+    },
+    /// Asks for the configuration that a patch builds on, unless the patch was taken or can't be.
+    Base {
+        /// Version that the patch builds on.
+        if_match: u64,
+        /// Version that the patch makes.
         version: u64,
-        body: Arc<[u8]>,
+        /// [`patch_identity`](crate::document::patch_identity).
+        request: Digest,
     },
     /// Reads the newest configuration.
     Read,
@@ -104,7 +111,7 @@
     Conflict { current: u64 },
     /// The version isn't above the current one.
     NotNewer { current: u64 },
-    /// The newest configuration.
+    /// The newest configuration, or the one that a patch builds on.
     Document(Option<Document>),
     /// Undecided: ask again.
     Unavailable,
--- a/crates/lockusher-control/src/replica/mistake.rs
+++ b/crates/lockusher-control/src/replica/mistake.rs
@@ -32,6 +32,8 @@
     IfMatchIgnored,
     #[display("a change that was taken before isn't recognized")]
     TakenNotRecognized,
+    #[display("a change counts as taken if its version is in place")]
+    VersionIdentifiesChange,
     #[display("the numbers of forwarded requests begin at 0 at each start")]
     RequestNumbersRestart,
     // Chain
@@ -106,7 +108,7 @@
 
 impl Mistake {
     /// All mistakes.
-    pub const ALL: [Mistake; 40] = [
+    pub const ALL: [Mistake; 41] = [
         Mistake::ReadUnconfirmed,
         Mistake::ConflictUnconfirmed,
         Mistake::NotNewerUnconfirmed,
@@ -114,6 +116,7 @@
         Mistake::ConfirmAfterAccepting,
         Mistake::IfMatchIgnored,
         Mistake::TakenNotRecognized,
+        Mistake::VersionIdentifiesChange,
         Mistake::RequestNumbersRestart,
         Mistake::AcknowledgeBeforeTail,
         Mistake::PassOnBeforeDurable,
--- a/crates/lockusher-control/src/replica/requests.rs
+++ b/crates/lockusher-control/src/replica/requests.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddrV4};
 
 use super::{Effect, Mistake, Replica, Reply, Request, RequestTicket};
-use crate::{Digest, Document, Millis, message::MessageBody};
+use crate::{Digest, Millis, ReplicatedState, message::MessageBody};
 
 /// Most requests that wait at one node, and at the head.
 const REQUEST_LIMIT: usize = 64;
@@ -37,8 +37,6 @@
 pub(super) struct Queued {
     origin: Origin,
     request: Request,
-    /// Digest of the body of a put.
-    digest: Option<Digest>,
     deadline: Millis,
     /// Refusals and reads wait for the confirmation of this round.
     round: u64,
@@ -54,6 +52,29 @@
     Write,
 }
 
+/// What a request to change the configuration is decided by.
+struct Change {
+    if_match: u64,
+    version: u64,
+    request: Digest,
+}
+
+impl Change {
+    /// Nothing for a read.
+    fn of(request: &Request) -> Option<Self> {
+        match request {
+            Request::Put { if_match, document } => {
+                let (version, request) = (document.version, document.request);
+                Some(Change { if_match: *if_match, version, request })
+            }
+            Request::Base { if_match, version, request } => {
+                Some(Change { if_match: *if_match, version: *version, request: *request })
+            }
+            Request::Read => None,
+        }
+    }
+}
+
 impl Requests {
     /// No requests; their numbers start here.
     pub(super) fn new(first: u64) -> Self {
@@ -134,11 +155,7 @@
         if known || head.queue.len() >= REQUEST_LIMIT {
             return;
         }
-        let digest = match &body {
-            Request::Put { body, .. } => Some(Digest::of(body)),
-            Request::Read => None,
-        };
-        head.queue.push_back(Queued { origin, request: body, digest, deadline, round });
+        head.queue.push_back(Queued { origin, request: body, deadline, round });
     }
 
     pub(super) fn reply_to(&mut self, origin: Origin, reply: Reply) {
@@ -174,8 +191,8 @@
     }
 
     fn write(&mut self, queued: Queued) {
-        if let (Request::Put { version, body, .. }, Some(digest)) = (queued.request, queued.digest) {
-            self.begin_write(Document { version, digest, body }, queued.origin);
+        if let Request::Put { document, .. } = queued.request {
+            self.begin_write(document, queued.origin);
         }
     }
 
@@ -185,23 +202,34 @@
         let if_confirmed = |reply, unless: Mistake| {
             if confirmed || self.makes(unless) { Decision::Reply(reply) } else { Decision::Confirm }
         };
-        let Request::Put { if_match, version, .. } = &queued.request else {
-            return if_confirmed(Reply::Document(state.document().cloned()), Mistake::ReadUnconfirmed);
+        let newest = || Reply::Document(state.document().cloned());
+        let Some(change) = Change::of(&queued.request) else {
+            return if_confirmed(newest(), Mistake::ReadUnconfirmed);
         };
-        let taken = queued.digest.is_some_and(|digest| state.has_taken(digest));
-        if taken && !self.makes(Mistake::TakenNotRecognized) {
+        if self.is_taken(state, &change) {
             return Decision::Reply(Reply::Accepted);
         }
         if self.holding.pending.is_some() || self.write_in_flight().is_some() {
             return Decision::Wait;
         }
         let current = state.version();
-        if *if_match != current && !self.makes(Mistake::IfMatchIgnored) {
+        if change.if_match != current && !self.makes(Mistake::IfMatchIgnored) {
             if_confirmed(Reply::Conflict { current }, Mistake::ConflictUnconfirmed)
-        } else if *version <= current {
+        } else if change.version <= current {
             if_confirmed(Reply::NotNewer { current }, Mistake::NotNewerUnconfirmed)
+        } else if matches!(queued.request, Request::Base { .. }) {
+            // It needs no confirmation: what was committed as this version is the only one, and the put that follows is
+            // decided on its own.
+            Decision::Reply(newest())
         } else {
             Decision::Write
         }
     }
+
+    fn is_taken(&self, state: &ReplicatedState, change: &Change) -> bool {
+        if self.makes(Mistake::VersionIdentifiesChange) && change.version == state.version() {
+            return true;
+        }
+        state.has_taken(change.request) && !self.makes(Mistake::TakenNotRecognized)
+    }
 }
--- a/crates/lockusher-control/src/serve.rs
+++ b/crates/lockusher-control/src/serve.rs
@@ -11,7 +11,7 @@
 use derive_more::{Display, Error, From};
 use lockusher_distribution::publisher::Publisher;
 use lockusher_distribution::serve::{SharedPublisher, accept};
-use lockusher_model::settings::NodeSettings;
+use lockusher_model::settings::{InternalListener, NodeSettings, TooFewPorts};
 use lockusher_net::clock::Clock;
 use lockusher_net::error::NetError;
 use lockusher_net::{http, tcp};
@@ -40,21 +40,14 @@
     #[display("settings: {_0} is missing")]
     #[from(ignore)]
     Missing(#[error(not(source))] &'static str),
-    #[display("settings: internalPorts: expected two ports at least")]
-    TooFewPorts,
+    #[display("{_0}")]
+    Ports(TooFewPorts),
     #[display("{_0}")]
     Disk(DiskError),
     #[display("{_0}")]
     Net(NetError),
 }
 
-/// The port at which control nodes talk to each other: the second of the internal ones. The first serves subscribers.
-fn replica_port(settings: &NodeSettings) -> Result<u16, ControlError> {
-    let (first, last) = settings.internal_ports;
-    let port = first.checked_add(1).ok_or(ControlError::TooFewPorts)?;
-    if port > last { Err(ControlError::TooFewPorts) } else { Ok(port) }
-}
-
 /// What the command line says of a control node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ControlOptions {
@@ -76,8 +69,8 @@
 ) -> Result<(), ControlError> {
     let operator_address = settings.control.ok_or(ControlError::Missing("listenAddresses.control"))?;
     let folder = settings.data_directory.clone().ok_or(ControlError::Missing("dataDirectory"))?;
-    let replica_port = replica_port(&settings)?;
-    let subscription_port = settings.internal_ports.0;
+    let replica_port = settings.internal_port(InternalListener::Replicas)?;
+    let subscription_port = settings.internal_port(InternalListener::Subscriptions)?;
     let own = SocketAddrV4::new(settings.ip_address, replica_port);
     let operator_listener = tcp::listen(operator_address).await?;
     let peer_listener = tcp::listen(own).await?;
--- a/crates/lockusher-control/src/shell/operator_api.rs
+++ b/crates/lockusher-control/src/shell/operator_api.rs
@@ -3,21 +3,25 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use hyper::body::Incoming;
+use hyper::body::{Bytes, Incoming};
 use hyper::header::{IF_MATCH, RETRY_AFTER};
 use hyper::{Method, Request as HttpRequest, Response, StatusCode};
 use lockusher_model::configuration::Configuration;
+use lockusher_model::configuration_patch::ConfigurationPatch;
+use lockusher_model::fault::Faults;
 use lockusher_net::error::NetError;
 use lockusher_net::http::{WholeBody, answer, read_body};
 
 use super::host::Host;
 use super::status;
+use crate::document::{Document, patch_identity};
 use crate::replica::{Reply, Request};
 
 /// The largest configuration that is taken, in bytes.
 const MAX_CONFIGURATION_BYTES: usize = 8 * 1024 * 1024;
 /// When to come back after an undecided request, in seconds.
 const RETRY_AFTER_S: &str = "0.3";
+const NOTHING_TO_PATCH: &str = "no configuration yet: send a whole one with PUT first\n";
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
 
@@ -25,6 +29,7 @@
 pub async fn handle(host: Rc<Host>, request: HttpRequest<Incoming>) -> Response<WholeBody> {
     match (request.method(), request.uri().path()) {
         (&Method::PUT, "/api/configuration") => put_configuration(host, request).await,
+        (&Method::PATCH, "/api/configuration") => patch_configuration(host, request).await,
         (&Method::GET, "/api/configuration") => get_configuration(host).await,
         (&Method::GET, "/api/status") => answer(StatusCode::OK, JSON, status::report(&host)),
         (&Method::GET, "/metrics") => answer(StatusCode::OK, TEXT, status::metrics(&host)),
@@ -36,23 +41,72 @@
 }
 
 async fn put_configuration(host: Rc<Host>, request: HttpRequest<Incoming>) -> Response<WholeBody> {
-    let if_match = match expected_version(&request) {
-        Ok(version) => version,
-        Err(fault) => return answer(StatusCode::BAD_REQUEST, TEXT, fault),
+    let change = match read_change(request).await {
+        Ok(change) => change,
+        Err(refusal) => return refusal,
     };
-    let body = match read_body(request.into_body(), MAX_CONFIGURATION_BYTES).await {
-        Ok(body) => body,
-        Err(NetError::BodyTooLong(_)) => {
-            return answer(StatusCode::PAYLOAD_TOO_LARGE, TEXT, "configuration too large\n");
-        }
-        Err(_) => return answer(StatusCode::BAD_REQUEST, TEXT, "the body could not be read whole\n"),
-    };
-    let version = match Configuration::parse(&body) {
+    let version = match Configuration::parse(&change.body) {
         Ok(configuration) => configuration.version,
-        Err(faults) => return answer(StatusCode::BAD_REQUEST, TEXT, format!("{faults}\n")),
+        Err(faults) => return faulty(&faults),
+    };
+    let document = Document::new(version, Arc::from(&change.body[..]));
+    put(&host, change.if_match, document).await
+}
+
+/// Applies a patch to the configuration that it builds on and puts what comes of it under the patch's own identity.
+async fn patch_configuration(host: Rc<Host>, request: HttpRequest<Incoming>) -> Response<WholeBody> {
+    let change = match read_change(request).await {
+        Ok(change) => change,
+        Err(refusal) => return refusal,
     };
-    let body: Arc<[u8]> = Arc::from(&body[..]);
-    match host.request(Request::Put { if_match, version, body }).await {
+    let patch = match ConfigurationPatch::parse(&change.body) {
+        Ok(patch) => patch,
+        Err(faults) => return faulty(&faults),
+    };
+    let (if_match, version) = (change.if_match, patch.version);
+    let identity = patch_identity(if_match, &change.body);
+    let base = match host.request(Request::Base { if_match, version, request: identity }).await {
+        Reply::Document(Some(base)) => base,
+        Reply::Document(None) => return answer(StatusCode::CONFLICT, TEXT, NOTHING_TO_PATCH),
+        reply => return decided(reply, if_match, version),
+    };
+    match patch.apply(&base.body) {
+        Ok(body) => put(&host, if_match, Document::patched(version, identity, Arc::from(body))).await,
+        Err(faults) => faulty(&faults),
+    }
+}
+
+/// A change as the operator sent it.
+struct ChangeCall {
+    if_match: u64,
+    body: Bytes,
+}
+
+/// Reads the call of a change whole, or says why it can't be taken.
+async fn read_change(request: HttpRequest<Incoming>) -> Result<ChangeCall, Response<WholeBody>> {
+    let if_match =
+        expected_version(&request).map_err(|fault| answer(StatusCode::BAD_REQUEST, TEXT, fault))?;
+    match read_body(request.into_body(), MAX_CONFIGURATION_BYTES).await {
+        Ok(body) => Ok(ChangeCall { if_match, body }),
+        Err(NetError::BodyTooLong(_)) => {
+            Err(answer(StatusCode::PAYLOAD_TOO_LARGE, TEXT, "configuration too large\n"))
+        }
+        Err(_) => Err(answer(StatusCode::BAD_REQUEST, TEXT, "the body could not be read whole\n")),
+    }
+}
+
+fn faulty(faults: &Faults) -> Response<WholeBody> {
+    answer(StatusCode::BAD_REQUEST, TEXT, format!("{faults}\n"))
+}
+
+async fn put(host: &Host, if_match: u64, document: Document) -> Response<WholeBody> {
+    let version = document.version;
+    decided(host.request(Request::Put { if_match, document }).await, if_match, version)
+}
+
+/// The answer to a change of version `version` that builds on `if_match`.
+fn decided(reply: Reply, if_match: u64, version: u64) -> Response<WholeBody> {
+    match reply {
         Reply::Accepted => answer(StatusCode::OK, JSON, format!("{{\"version\":{version}}}")),
         Reply::Conflict { current } => {
             let fault = format!("If-Match names version {if_match}; version {current} is in place\n");
--- a/crates/lockusher-control/src/simulation/calls.rs
+++ b/crates/lockusher-control/src/simulation/calls.rs
@@ -41,7 +41,7 @@
             return;
         }
         let change = operator.next_change(&mut self.random);
-        self.history.send(&change.document, change.if_match);
+        self.history.send(&change);
         self.call(number, change.request(), Some(change));
     }
 
@@ -49,6 +49,7 @@
         let operator = &mut self.operators[number];
         if operator.call.as_ref().is_some_and(|call| call.deadline <= self.now) {
             operator.call = None;
+            operator.begin_again();
             self.outcome.unanswered += 1;
         }
     }
@@ -146,20 +147,25 @@
         match reply {
             Reply::Accepted => {
                 operator.change = None;
-                operator.believed = operator.believed.max(change.document.version);
+                operator.believed = operator.believed.max(change.version);
                 if !change.again {
-                    operator.acknowledged.push(change.clone());
+                    operator.acknowledged.push(change.clone().from_beginning());
                 }
-                self.history.acknowledge(change.document.digest, self.now);
+                self.history.acknowledge(change.identity, self.now);
             }
             Reply::Conflict { current } | Reply::NotNewer { current } => {
                 operator.change = None;
                 operator.believed = current;
-                self.history.refuse(change.document.digest, call.floor, self.now);
+                self.history.refuse(change.identity, call.floor, self.now);
             }
-            Reply::Unavailable => self.outcome.unanswered += 1,
-            Reply::Document(_) => {
-                self.history.violations.push(format!("{}: a document answers {ticket:?}", self.now));
+            Reply::Unavailable => {
+                operator.begin_again();
+                self.outcome.unanswered += 1;
+            }
+            Reply::Document(document) => {
+                if !operator.take_base(document) {
+                    self.history.violations.push(format!("{}: a document answers {ticket:?}", self.now));
+                }
             }
         }
     }
--- a/crates/lockusher-control/src/simulation/history.rs
+++ b/crates/lockusher-control/src/simulation/history.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use super::operator::{Change, patched};
 use crate::{Digest, Document, Millis};
 
 /// A configuration that an operator sent.
@@ -12,13 +13,15 @@
     acknowledged: bool,
     refused: bool,
     committed: bool,
+    is_patch: bool,
 }
 
 /// All that was sent, told and committed.
 #[derive(Debug, Default)]
 pub struct History {
     sent: BTreeMap<Digest, Sent>,
-    committed: BTreeMap<u64, Digest>,
+    /// Identities of the requests that were committed, and what came of them, by version.
+    committed: BTreeMap<u64, (Digest, Digest)>,
     /// Highest version that was acknowledged or read, by time.
     floor: u64,
     heads: BTreeMap<u64, std::net::SocketAddrV4>,
@@ -30,10 +33,16 @@
 
 impl History {
     /// An operator sends a configuration, perhaps again.
-    pub fn send(&mut self, document: &Document, if_match: u64) {
-        let version = document.version;
-        let sent = Sent { if_match, version, acknowledged: false, refused: false, committed: false };
-        self.sent.entry(document.digest).or_insert(sent);
+    pub fn send(&mut self, change: &Change) {
+        let sent = Sent {
+            if_match: change.if_match,
+            version: change.version,
+            acknowledged: false,
+            refused: false,
+            committed: false,
+            is_patch: change.is_patch(),
+        };
+        self.sent.entry(change.identity).or_insert(sent);
     }
 
     /// A configuration was acknowledged.
@@ -79,9 +88,9 @@
     pub fn newest_version(&self) -> u64 {
         self.newest_committed().map_or(0, |(version, _)| version)
     }
-    /// The newest configuration that a node holds to be committed.
+    /// The newest configuration that a node holds to be committed: its version and the identity of its request.
     pub fn newest_committed(&self) -> Option<(u64, Digest)> {
-        self.committed.last_key_value().map(|(version, digest)| (*version, *digest))
+        self.committed.last_key_value().map(|(version, (request, _))| (*version, *request))
     }
 
     /// Highest version that any later read must reach.
@@ -105,11 +114,13 @@
     pub fn commit(&mut self, document: &Document, now: Millis) -> bool {
         let version = document.version;
         let is_first = !self.committed.contains_key(&version);
-        let former = *self.committed.entry(version).or_insert(document.digest);
-        if former != document.digest {
+        let identity = (document.request, document.digest);
+        let former = *self.committed.entry(version).or_insert(identity);
+        if former != identity {
             self.violations.push(format!("{now}: two configurations committed as version {version}"));
         }
-        match self.sent.get_mut(&document.digest) {
+        self.check_patched(document, now);
+        match self.sent.get_mut(&document.request) {
             None => self.violations.push(format!("{now}: version {version} committed, but never sent")),
             Some(sent) if sent.refused => {
                 self.violations.push(format!("{now}: version {version} committed, but refused"));
@@ -119,6 +130,16 @@
         is_first
     }
 
+    /// What a patch made is what it makes of the configuration that it builds on.
+    fn check_patched(&mut self, document: &Document, now: Millis) {
+        let Some(sent) = self.sent.get(&document.request).filter(|sent| sent.is_patch) else { return };
+        let Some((_, base)) = self.committed.get(&sent.if_match) else { return };
+        if patched(sent.version, document.request, *base).digest != document.digest {
+            let version = document.version;
+            self.violations.push(format!("{now}: version {version} isn't its patch applied to its base"));
+        }
+    }
+
     /// A node calls itself head of an epoch.
     pub fn head(&mut self, epoch: u64, address: std::net::SocketAddrV4, now: Millis) {
         let former = *self.heads.entry(epoch).or_insert(address);
--- a/crates/lockusher-control/src/simulation/obligations.rs
+++ b/crates/lockusher-control/src/simulation/obligations.rs
@@ -63,7 +63,7 @@
                 Err(format!("{sender} says that it holds a state that isn't on its disk"))
             }
             MessageBody::Append { index, document, .. } => {
-                self.passed_on(epoch, *index, document.digest, disk)
+                self.passed_on(epoch, *index, document.request, disk)
             }
             MessageBody::Holds { index } | MessageBody::Acknowledge { index } => {
                 self.holds(sender, epoch, *index, disk)
--- a/crates/lockusher-control/src/simulation/operator.rs
+++ b/crates/lockusher-control/src/simulation/operator.rs
@@ -5,7 +5,17 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Document, Millis, Request, RequestTicket};
+use crate::document::patch_identity;
+use crate::{Digest, Document, Millis, Request, RequestTicket};
+
+/// One change in so many is a patch.
+const PATCHES: u32 = 3;
+
+/// What a patch makes of a configuration: it depends on both.
+pub fn patched(version: u64, patch: Digest, base: Digest) -> Document {
+    let body = format!("{{\"version\":{version},\"patch\":\"{patch}\",\"base\":\"{base}\"}}");
+    Document::patched(version, patch, Arc::from(body.into_bytes()))
+}
 
 /// An operator with one call at a time.
 #[derive(Debug)]
@@ -28,12 +38,25 @@
 /// A change of the configuration.
 #[derive(Clone, Debug)]
 pub struct Change {
-    pub document: Document,
+    /// Identifies the call.
+    pub identity: Digest,
+    pub version: u64,
     pub if_match: u64,
+    pub content: Content,
     /// It was acknowledged before, and is sent again.
     pub again: bool,
 }
 
+/// What a change consists of.
+#[derive(Clone, Debug)]
+pub enum Content {
+    Whole(Document),
+    /// A patch, with the configuration to apply it to once that is known.
+    Patch {
+        base: Option<Document>,
+    },
+}
+
 /// A call under way.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -75,23 +98,74 @@
     }
 
     /// A change on top of what it believes current.
-    pub fn new_change(&mut self, random: &mut ChaCha8Rng) -> Change {
+    fn new_change(&mut self, random: &mut ChaCha8Rng) -> Change {
+        if self.believed == 0 || !random.random_ratio(1, PATCHES) {
+            return self.new_whole(random);
+        }
+        let (version, body) = self.next_body(random);
+        let if_match = self.believed;
+        let identity = patch_identity(if_match, body.as_bytes());
+        Change { identity, version, if_match, content: Content::Patch { base: None }, again: false }
+    }
+
+    /// A whole configuration on top of what it believes current.
+    pub fn new_whole(&mut self, random: &mut ChaCha8Rng) -> Change {
+        let (version, body) = self.next_body(random);
+        let document = Document::new(version, Arc::from(body.into_bytes()));
+        let (identity, if_match) = (document.request, self.believed);
+        Change { identity, version, if_match, content: Content::Whole(document), again: false }
+    }
+
+    /// The version of the next change, and a body that no other change has.
+    fn next_body(&mut self, random: &mut ChaCha8Rng) -> (u64, String) {
         self.written += 1;
         let version = self.believed + random.random_range(1..=3);
         let body =
             format!("{{\"version\":{version},\"operator\":{},\"number\":{}}}", self.number, self.written);
-        let document = Document::new(version, Arc::from(body.into_bytes()));
-        Change { document, if_match: self.believed, again: false }
+        (version, body)
+    }
+
+    /// A patch without a clear answer is sent again from its beginning.
+    pub fn begin_again(&mut self) {
+        if let Some(Change { content: Content::Patch { base }, .. }) = &mut self.change {
+            *base = None;
+        }
+    }
+
+    /// A patch that is asked for was told what it builds on: it goes on, true, or can't be applied to nothing.
+    pub fn take_base(&mut self, document: Option<Document>) -> bool {
+        match (&mut self.change, document) {
+            (Some(Change { content: Content::Patch { base: base @ None }, .. }), Some(document)) => {
+                *base = Some(document);
+                true
+            }
+            _ => false,
+        }
     }
 }
 
 impl Change {
     /// The request that asks for it.
     pub fn request(&self) -> Request {
-        Request::Put {
-            if_match: self.if_match,
-            version: self.document.version,
-            body: self.document.body.clone(),
+        let (if_match, version, request) = (self.if_match, self.version, self.identity);
+        match &self.content {
+            Content::Whole(document) => Request::Put { if_match, document: document.clone() },
+            Content::Patch { base: None } => Request::Base { if_match, version, request },
+            Content::Patch { base: Some(base) } => {
+                Request::Put { if_match, document: patched(version, request, base.digest) }
+            }
+        }
+    }
+
+    /// The same as it is to be sent first.
+    pub fn from_beginning(mut self) -> Self {
+        if let Content::Patch { base } = &mut self.content {
+            *base = None;
         }
+        self
+    }
+
+    pub fn is_patch(&self) -> bool {
+        matches!(self.content, Content::Patch { .. })
     }
 }
--- a/crates/lockusher-control/src/simulation/world.rs
+++ b/crates/lockusher-control/src/simulation/world.rs
@@ -179,14 +179,14 @@
         let acknowledged_before = self.operators[0].acknowledged.len();
         while self.now < deadline {
             if self.operators[0].call.is_none() && self.operators[0].change.is_none() {
-                let change = self.operators[0].new_change(&mut self.random);
+                let change = self.operators[0].new_whole(&mut self.random);
                 self.operators[0].change = Some(change);
             }
             self.step_operator(0, false);
             self.advance(self.now + 5);
             let acknowledged = &self.operators[0].acknowledged;
             if let Some(change) = acknowledged[acknowledged_before..].last() {
-                return Some(change.document.version);
+                return Some(change.version);
             }
         }
         None
--- a/crates/lockusher-control/src/state.rs
+++ b/crates/lockusher-control/src/state.rs
@@ -1,4 +1,4 @@
-//! The replicated state: the newest configuration and the digests of those taken before.
+//! The replicated state: the newest configuration and the identities of the requests taken before.
 
 use std::sync::Arc;
 
@@ -6,7 +6,7 @@
 
 use crate::document::{Digest, Document};
 
-/// How many digests of taken configurations are kept, so that one sent again is acknowledged again.
+/// How many identities of taken requests are kept, so that one sent again is acknowledged again.
 pub const HISTORY_LIMIT: usize = 4096;
 
 /// Digest over the whole sequence of configurations taken: equal lineages mean equal states.
@@ -50,12 +50,12 @@
         self.previous
     }
 
-    /// Whether a configuration with this digest has been taken (of the newest [`HISTORY_LIMIT`]).
-    pub fn has_taken(&self, digest: Digest) -> bool {
-        self.history.contains(&digest)
+    /// Whether this request of the operator has been taken (of the newest [`HISTORY_LIMIT`]).
+    pub fn has_taken(&self, request: Digest) -> bool {
+        self.history.contains(&request)
     }
 
-    /// The same without the digests of configurations taken, as a mistake leaves it.
+    /// The same without the identities of requests taken, as a mistake leaves it.
     #[cfg(feature = "simulation")]
     pub(crate) fn without_history(&self) -> Self {
         Self { history: Arc::default(), ..self.clone() }
@@ -68,12 +68,13 @@
                 .0
                 .extended(&self.lineage.0.0.to_le_bytes())
                 .extended(&document.version.to_le_bytes())
+                .extended(&document.request.0.to_le_bytes())
                 .extended(&document.digest.0.to_le_bytes()),
         );
         let surplus = (self.history.len() + 1).saturating_sub(HISTORY_LIMIT);
         let mut history = Vec::with_capacity(self.history.len() + 1 - surplus);
         history.extend_from_slice(&self.history[surplus..]);
-        history.push(document.digest);
+        history.push(document.request);
         Self { document: Some(document), history: Arc::new(history), lineage, previous: self.lineage }
     }
 }
--- a/crates/lockusher-control/tests/loopback.rs
+++ b/crates/lockusher-control/tests/loopback.rs
@@ -104,6 +104,14 @@
         decided(put).await.status
     }
 
+    /// Sends a patch, again while the answer is 503, as an operator does.
+    async fn patch(&self, if_match: &str, body: &Value) -> Answer {
+        let body = body.to_string();
+        let patch =
+            async || call(self.operator, Method::PATCH, "/api/configuration", Some(if_match), &body).await;
+        decided(patch).await
+    }
+
     /// Asks for the status until the state is reached.
     async fn wait_until(&self, state: &str, reached: impl Fn(&Value) -> bool) -> Value {
         let started = Instant::now();
@@ -249,6 +257,65 @@
     assert!(metrics.contains("lockusher_control_configuration_version 2\n"), "{metrics}");
 }
 
+/// A patch that sets one more route.
+fn one_more(version: u64, prefix: &str) -> Value {
+    let route = json!({
+        "name": prefix, "host": "chat.example", "pathPrefix": prefix, "kind": "idempotent", "timeoutMs": 7, "service": "chat"
+    });
+    json!({"version": version, "upsert": {"routes": [route]}})
+}
+
+#[compio::test]
+async fn patches_are_known_again_by_the_whole_request_and_not_by_their_version() {
+    let mut machines = machines(&[[127, 0, 0, 31], [127, 0, 0, 32], [127, 0, 0, 33]]);
+    machines.iter_mut().for_each(|machine| machine.start(true));
+    let [first, second, third] = &machines[..] else { panic!("three machines") };
+
+    let early = first.patch("0", &one_more(1, "/x/")).await;
+    assert_eq!(early.status, StatusCode::CONFLICT, "nothing to patch: {early:?}");
+    assert_eq!(first.put("0", &configuration(3)).await, StatusCode::OK);
+
+    let (winner, loser) = (one_more(5, "/w/"), one_more(5, "/l/"));
+    assert_eq!(second.patch("3", &winner).await.status, StatusCode::OK);
+    assert_eq!(
+        third.patch("3", &loser).await.status,
+        StatusCode::PRECONDITION_FAILED,
+        "same number, other change"
+    );
+    assert_eq!(first.patch("3", &winner).await.status, StatusCode::OK, "the same patch again");
+
+    let read: Value = serde_json::from_slice(&third.read().await.body).expect("JSON");
+    let mut expected: Value = serde_json::from_str(&configuration(3)).expect("JSON");
+    expected["version"] = json!(5);
+    let routes = expected["routes"].as_array_mut().expect("routes");
+    routes.push(winner["upsert"]["routes"][0].clone());
+    assert_eq!(read, expected);
+
+    let faulty = third.patch("5", &json!({"version": 6, "remove": {"services": ["chat"]}})).await;
+    assert_eq!(faulty.status, StatusCode::BAD_REQUEST);
+    let faults = String::from_utf8(faulty.body.to_vec()).expect("text");
+    assert_eq!(faults.lines().count(), 2, "both routes lose their service: {faults}");
+    assert_eq!(third.patch("5", &one_more(5, "/y/")).await.status, StatusCode::BAD_REQUEST, "not newer");
+    assert_eq!(third.patch("3", &one_more(6, "/y/")).await.status, StatusCode::PRECONDITION_FAILED, "stale");
+
+    assert_eq!(first.put("5", &configuration(8)).await, StatusCode::OK);
+    assert_eq!(
+        second.patch("3", &winner).await.status,
+        StatusCode::OK,
+        "the same patch again, though it is old"
+    );
+    assert_eq!(third.patch("3", &loser).await.status, StatusCode::PRECONDITION_FAILED);
+    let mut machines = machines;
+    machines.iter_mut().for_each(Machine::stop);
+    machines.iter_mut().for_each(|machine| machine.start(false));
+    assert_eq!(
+        machines[1].patch("3", &winner).await.status,
+        StatusCode::OK,
+        "the same patch after a restart"
+    );
+    assert_eq!(machines[0].read().await.body[..], *configuration(8).as_bytes());
+}
+
 /// Changes a byte of the first append, many appends ago.
 fn damage(folder: &Path) {
     let names = fs::read_dir(folder).expect("a folder").map(|entry| entry.expect("an entry").path());
--- a/crates/lockusher-control/tests/messages.rs
+++ b/crates/lockusher-control/tests/messages.rs
@@ -47,10 +47,7 @@
         MessageBody::Transfer(Transfer { purpose, position, lineage, payload }),
         MessageBody::TransferAnswer(TransferAnswer { purpose, position, lineage, held: true }),
         MessageBody::Append { index: 1, previous: lineage, document: document(), relay: true },
-        MessageBody::Forward {
-            request: 1,
-            body: Request::Put { if_match: 5, version: 7, body: Arc::from(&b"x"[..]) },
-        },
+        MessageBody::Forward { request: 1, body: Request::Put { if_match: 5, document: document() } },
         MessageBody::Forwarded { request: 1, reply: Reply::Document(Some(document())) },
     ]
 }
--- a/crates/lockusher-control/tests/mistakes.rs
+++ b/crates/lockusher-control/tests/mistakes.rs
@@ -1,7 +1,7 @@
 //! Every mistake that can be planted is found: by the simulation within a stated number of runs, or by a named test.
 
 use lockusher_control::{
-    Mistake, Reply, Request,
+    Document, Mistake, Reply, Request,
     simulation::{Checks, SimulationOptions, World, simulate_with},
 };
 use yare::parameterized;
@@ -32,6 +32,7 @@
         ),
         Mistake::ConfirmAfterAccepting => Within([40, 40, 40]),
         Mistake::IfMatchIgnored | Mistake::TakenNotRecognized => Within([5, 5, 5]),
+        Mistake::VersionIdentifiesChange => Within([5, 5, 5]),
         Mistake::RequestNumbersRestart => ByTest("mistakes::an_answer_of_a_former_life_answers_nothing"),
         Mistake::AcknowledgeBeforeTail | Mistake::PassOnBeforeDurable => Within([5, 5, 5]),
         Mistake::EntryWithoutPredecessor => CoveredBy(
@@ -126,7 +127,7 @@
     assert!(world.run_until_whole(4000).is_some(), "{}", world.describe());
     // The tail's disk stalls, so that a change waits at the head.
     world.stall_disk(other, 400);
-    let change = Request::Put { if_match: 0, version: 9, body: b"{}".as_slice().into() };
+    let change = Request::Put { if_match: 0, document: Document::new(9, b"{}".as_slice().into()) };
     assert_eq!(world.ask_for(asker, change, 60), None);
     world.kill(asker, 1);
     world.run_until(5, |_| false);
--- a/crates/lockusher-control/tests/scenarios.rs
+++ b/crates/lockusher-control/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Single faults, with the time that the control state takes to get over them.
 
 use lockusher_control::{
-    Reply, Request,
+    Document, Reply, Request,
     simulation::{Room, SimulationOptions, World},
 };
 use yare::parameterized;
@@ -344,7 +344,8 @@
                 world.cut(victim, other);
             }
         }
-        let outdated = Request::Put { if_match: 0, version: 1_000_000, body: b"{}".as_slice().into() };
+        let outdated =
+            Request::Put { if_match: 0, document: Document::new(1_000_000, b"{}".as_slice().into()) };
         assert_eq!(world.ask_for(victim, outdated, 1), None, "a refusal needs a majority");
         let until = world.now() + 20_000;
         while world.now() < until {
--- a/crates/lockusher-distribution/src/reconnect.rs
+++ b/crates/lockusher-distribution/src/reconnect.rs
@@ -88,6 +88,11 @@
         self.seeds = seeds;
     }
 
+    /// The control node that this node is connected to.
+    pub fn connected(&self) -> Option<SocketAddrV4> {
+        self.established_at_ms.and(self.last)
+    }
+
     /// Whether all known addresses have failed, so that the settings file is worth reading again.
     pub fn is_out_of_addresses(&self) -> bool {
         self.round.is_empty() && self.failures > 0
--- a/crates/lockusher-model/src/fault.rs
+++ b/crates/lockusher-model/src/fault.rs
@@ -47,6 +47,15 @@
     /// A route with both `service` and `trafficSplit`, or with neither.
     #[display("expected either service or trafficSplit")]
     ServiceOrSplit,
+    /// A field of a whole configuration in a patch.
+    #[display("can't be set by a patch; items go under upsert and remove, all else needs the whole configuration")]
+    NotInPatch,
+    /// A list in a patch that a configuration doesn't have.
+    #[display("unknown list, expected routes or services")]
+    UnknownList,
+    /// An item that a patch both sets and removes.
+    #[display("{_0:?} is removed as well")]
+    UpsertedAndRemoved(String),
     /// A range whose first port is above its last.
     #[display("first port {first} is above the last, {last}")]
     PortOrder { first: u16, last: u16 },
@@ -76,6 +85,17 @@
         }
     }
 
+    /// The same faults at other places, those that a problem names included.
+    pub fn relocated(mut self, relocate: impl Fn(&str) -> String) -> Self {
+        for fault in &mut self.faults {
+            fault.place = relocate(&fault.place);
+            if let Problem::SameName { other } | Problem::SameHostAndPrefix { other } = &mut fault.problem {
+                *other = relocate(other);
+            }
+        }
+        self
+    }
+
     pub fn is_empty(&self) -> bool {
         self.faults.is_empty()
     }
--- a/crates/lockusher-model/src/lib.rs
+++ b/crates/lockusher-model/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform's instance list, with the readers that check them. Nothing here does I/O or reads a clock.
 
 pub mod configuration;
+pub mod configuration_patch;
 pub mod configuration_reader;
 pub mod duration;
 pub mod fault;
--- a/crates/lockusher-model/src/reader.rs
+++ b/crates/lockusher-model/src/reader.rs
@@ -106,6 +106,11 @@
         self.fields.get(name).filter(|value| !value.is_null())
     }
 
+    /// Names of all fields, also of those that are `null`.
+    pub fn field_names(&self) -> impl Iterator<Item = &'a str> {
+        self.fields.keys().map(String::as_str)
+    }
+
     fn required<T>(&self, name: &str, convert: impl Fn(&Value) -> Result<T, Problem>) -> Option<T> {
         let Some(value) = self.value(name) else {
             self.fault_at(name, Problem::Missing);
--- a/crates/lockusher-model/src/settings.rs
+++ b/crates/lockusher-model/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of a node: the file that `LOCKUSHER_NODE_FILE` names, `a.b=value` lines.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 
@@ -17,7 +18,7 @@
     pub front: Option<SocketAddrV4>,
     /// Where readiness is asked; edge machines only.
     pub readiness: Option<SocketAddrV4>,
-    /// Where the operator, agents and other control nodes come in; core machines only.
+    /// Where the operator comes in; on machines whose role serves the control plane.
     pub control: Option<SocketAddrV4>,
     /// First and last port for internal traffic on every machine.
     pub internal_ports: (u16, u16),
@@ -81,3 +82,57 @@
     pub lease_ms: u64,
     pub thaw_ms: u64,
 }
+
+/// An internal listener of a machine; each has a port of its own in the machine's range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InternalListener {
+    /// Serves subscribers: proxies at the loopback address (the agent), agents at the machine's address (the control node).
+    Subscriptions,
+    /// Other control nodes.
+    Replicas,
+    /// Other agents.
+    Agents,
+}
+
+/// A range of internal ports that has none for this listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooFewPorts(pub InternalListener);
+
+impl fmt::Display for TooFewPorts {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let needed = self.0 as u16 + 1;
+        write!(formatter, "settings: internalPorts: expected {needed} ports at least")
+    }
+}
+
+impl std::error::Error for TooFewPorts {}
+
+/// What the role `agent` is on a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EdgeControl {
+    /// The machine counts for the quorum and has a disk: a control node runs beside the agent.
+    ControlNode,
+    /// The operator may call, and is sent on to a control node.
+    Redirect,
+    /// The operator doesn't call here.
+    None,
+}
+
+impl NodeSettings {
+    /// The port of an internal listener: the first of the range serves subscriptions, and so on.
+    pub fn internal_port(&self, listener: InternalListener) -> Result<u16, TooFewPorts> {
+        let (first, last) = self.internal_ports;
+        let port = first.checked_add(listener as u16).filter(|port| *port <= last);
+        port.ok_or(TooFewPorts(listener))
+    }
+
+    /// What the agent's process does for the control plane. Every other machine only sends operators on: its loss isn't
+    /// counted, or it has no disk.
+    pub fn edge_control(&self) -> EdgeControl {
+        match (self.control, self.counts_for_quorum && self.data_directory.is_some()) {
+            (Some(_), true) => EdgeControl::ControlNode,
+            (Some(_), false) => EdgeControl::Redirect,
+            (None, _) => EdgeControl::None,
+        }
+    }
+}
--- a/crates/lockusher-node/src/check.rs
+++ b/crates/lockusher-node/src/check.rs
@@ -7,7 +7,7 @@
 
 use lockusher_model::configuration::Configuration;
 use lockusher_model::fault::Faults;
-use lockusher_model::settings::NodeSettings;
+use lockusher_model::settings::{EdgeControl, NodeSettings};
 
 use crate::command_line::FilesToCheck;
 
@@ -44,11 +44,24 @@
         Err(error) => return Finding::Unreadable(error),
     };
     match NodeSettings::parse(&text) {
-        Ok(settings) => Finding::Good(format!("settings of node {}", settings.node)),
+        Ok(settings) => Finding::Good(settings_words(&settings)),
         Err(faults) => Finding::Faulty(faults),
     }
 }
 
+/// What the settings make of the machine.
+fn settings_words(settings: &NodeSettings) -> String {
+    let node = &settings.node;
+    let with_agent = match settings.edge_control() {
+        EdgeControl::ControlNode => ", a control node: in the role agent beside the agent",
+        EdgeControl::Redirect => ", the role agent sends operators on to a control node",
+        EdgeControl::None => "",
+    };
+    let unused_disk = settings.counts_for_quorum && settings.data_directory.is_none();
+    let warning = if unused_disk { ", counts for the quorum but has no dataDirectory" } else { "" };
+    format!("settings of node {node}{with_agent}{warning}")
+}
+
 fn check_configuration(file: &Path) -> Finding {
     let body = match fs::read(file) {
         Ok(body) => body,
--- a/crates/lockusher-node/src/lib.rs
+++ b/crates/lockusher-node/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod check;
 pub mod command_line;
+pub mod composition;
 pub mod logging;
 pub mod program;
 pub mod role;
--- a/crates/lockusher-node/src/roles.rs
+++ b/crates/lockusher-node/src/roles.rs
@@ -6,14 +6,16 @@
 use lockusher_control::serve::ControlOptions;
 use lockusher_distribution::message::SubscriberIdentity;
 use lockusher_distribution::subscribe::subscribe;
+use lockusher_model::settings::{EdgeControl, InternalListener};
 use lockusher_net::clock::Clock;
 
+use crate::composition::run_accompanied;
 use crate::role::{Role, RoleContext, RoleError, RunningRole};
 
 /// The roles, by their commands.
 pub const ROLES: &[Role] = &[
     Role { name: "control", summary: "Keep the control state; take the operator's calls", run: control },
-    Role { name: "agent", summary: "Feed this machine's proxy from the control nodes", run: agent },
+    Role { name: "agent", summary: "Feed this machine's proxy from the control nodes; run one, where the settings say so", run: agent },
     Role { name: "proxy", summary: "Forward clients' requests to searchers", run: proxy },
 ];
 
@@ -27,15 +29,22 @@
 
 fn agent(context: RoleContext) -> RunningRole {
     Box::pin(async move {
+        let options = ControlOptions { stage_orders: context.options.stage_orders };
         let (settings, stop) = context.start(|_| ())?;
-        Ok(lockusher_agent::serve::run(settings, stop).await?)
+        if settings.edge_control() != EdgeControl::ControlNode {
+            return Ok(lockusher_agent::serve::run(settings, stop).await?);
+        }
+        log::info!("a control node runs beside the agent");
+        let control = lockusher_control::serve::run(settings.clone(), options, stop);
+        run_accompanied(control, |stop| lockusher_agent::serve::run(settings, stop)).await
     })
 }
 
 fn proxy(context: RoleContext) -> RunningRole {
     Box::pin(async move {
         let (settings, stop) = context.start(|_| ())?;
-        let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, settings.internal_ports.0);
+        let port = settings.internal_port(InternalListener::Subscriptions)?;
+        let agent = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
         let identity = SubscriberIdentity {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
