Tests: agent and control node in a process, operators sent on, what check says

Cause: the composition, the redirect and what check says of settings had no tests. Change: tests only.

--- a/crates/lockusher-agent/tests/loopback.rs
+++ b/crates/lockusher-agent/tests/loopback.rs
@@ -104,19 +104,19 @@
     format!(r#"{{"instances":[{entry}],"nextToken":{next}}}"#)
 }
 
-/// Two neighbouring ports that are free on all of loopback.
+/// The first and the last of three neighbouring ports that are free on all of loopback.
 async fn free_ports() -> (u16, u16) {
     for _ in 0..100 {
         let first = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a listener");
         let port = first.local_addr().expect("an address").port();
         let all = |port: u16| [1, 2, 3].map(|host| SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, host), port));
         drop(first);
-        let addresses = [all(port), all(port + 1)].concat();
+        let addresses = [all(port), all(port + 1), all(port + 2)].concat();
         if addresses.iter().all(|address| std::net::TcpListener::bind(address).is_ok()) {
-            return (port, port + 1);
+            return (port, port + 2);
         }
     }
-    panic!("no two neighbouring ports are free");
+    panic!("no three neighbouring ports are free");
 }
 
 /// An edge machine at 127.0.0.2 whose control node is at 127.0.0.3.
@@ -128,6 +128,11 @@
     NodeSettings::parse(&text).expect("settings")
 }
 
+/// Where operators call at the edge machine and at the control node.
+fn operator_address(ports: (u16, u16), host: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, host), ports.0 + 1)
+}
+
 fn control_address(ports: (u16, u16)) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 3), ports.0)
 }
@@ -270,3 +275,52 @@
     control.publish_list(1, &[instance("a"), instance("b"), instance("c"), instance("d")]);
     proxy.wait_for_list(&["a", "b", "c", "d"]).await;
 }
+
+/// An operator's call at an edge machine without a control node: its status and where it is sent on to.
+async fn call_operator(address: SocketAddrV4) -> (StatusCode, Option<String>) {
+    let stream = lockusher_net::tcp::connect(address, LIMIT).await.expect("a connection");
+    let stream = cyper_core::HyperStream::new_plain(stream.into_poll_fd().expect("polled"));
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream).await.expect("a handshake");
+    let _driver = compio::runtime::spawn(connection);
+    let request = hyper::Request::builder()
+        .method("PUT")
+        .uri("/api/configuration?x=1")
+        .header("host", address.to_string())
+        .body(http_body_util::Full::<hyper::body::Bytes>::from(vec![b'x'; 300_000]))
+        .expect("a request");
+    let response = sender.send_request(request).await.expect("an answer");
+    let location = response.headers().get("location").map(|value| value.to_str().expect("text").to_owned());
+    (response.status(), location)
+}
+
+#[compio::test]
+async fn operators_are_sent_on_to_the_control_node_that_the_agent_is_connected_to() {
+    let ports = free_ports().await;
+    let platform = Platform::start().await;
+    let mut settings = settings(ports, platform.address);
+    let here = operator_address(ports, 2);
+    settings.control = Some(here);
+    settings.data_directory = Some("/nowhere".into());
+    let _agent = start_agent(&settings);
+    let mut proxy = Proxy::start(ports);
+    // Without a control node there is nowhere to go. The agent listens once it answers.
+    let ready = async { while lockusher_net::tcp::connect(here, LIMIT).await.is_err() {} };
+    timeout(LIMIT, ready).await.expect("the agent listens");
+    assert_eq!(call_operator(here).await, (StatusCode::SERVICE_UNAVAILABLE, None));
+
+    let control = Control::start(control_address(ports)).await;
+    control.shared.update(|publisher| publisher.publish_configuration(Rc::new(configuration(4, &[]))));
+    proxy.wait_for_configuration(4).await;
+    let there = operator_address(ports, 3);
+    let expected = format!("http://{there}/api/configuration?x=1");
+    assert_eq!(call_operator(here).await, (StatusCode::TEMPORARY_REDIRECT, Some(expected)));
+}
+
+#[compio::test]
+async fn a_range_with_too_few_internal_ports_is_an_error() {
+    let (first, _) = free_ports().await;
+    let platform = Platform::start().await;
+    let settings = settings((first, first + 1), platform.address);
+    let error = serve::run(settings, std::future::pending()).await.expect_err("two ports are too few");
+    assert_eq!(error.to_string(), "settings: internalPorts: expected 3 ports at least");
+}
--- a/crates/lockusher-node/src/roles.rs
+++ b/crates/lockusher-node/src/roles.rs
@@ -15,7 +15,11 @@
 /// The roles, by their commands.
 pub const ROLES: &[Role] = &[
     Role { name: "control", summary: "Keep the control state; take the operator's calls", run: control },
-    Role { name: "agent", summary: "Feed this machine's proxy from the control nodes; run one, where the settings say so", run: agent },
+    Role {
+        name: "agent",
+        summary: "Feed this machine's proxy from the control nodes; run one, where the settings say so",
+        run: agent,
+    },
     Role { name: "proxy", summary: "Forward clients' requests to searchers", run: proxy },
 ];
 
--- a/crates/lockusher-node/tests/check.rs
+++ b/crates/lockusher-node/tests/check.rs
@@ -97,3 +97,26 @@
     assert_eq!(output.status.code(), Some(0));
     assert_eq!(text(&output.stdout), format!("{}: good: settings of node n-4\n", settings.display()));
 }
+
+#[test]
+fn settings_say_what_they_make_of_a_machine() {
+    let machine = |lines: &str| format!("{GOOD_SETTINGS}{lines}");
+    let operator = "listenAddresses.control=172.20.1.2:4500\n";
+    let counted = "countsForQuorum=true\n";
+    let disk = "dataDirectory=/data\n";
+    let cases = [
+        (format!("{operator}{counted}{disk}"), ", a control node: in the role agent beside the agent"),
+        (operator.to_owned(), ", the role agent sends operators on to a control node"),
+        (
+            format!("{operator}{counted}"),
+            ", the role agent sends operators on to a control node, counts for the quorum but has no dataDirectory",
+        ),
+        (format!("{counted}{disk}"), ""),
+    ];
+    for (number, (lines, expected)) in cases.into_iter().enumerate() {
+        let settings = file(&format!("machine-{number}.conf"), &machine(&lines));
+        let output = check(&[&settings], &[]);
+        let expected = format!("{}: good: settings of node n-4{expected}\n", settings.display());
+        assert_eq!(text(&output.stdout), expected);
+    }
+}
