--- a/crates/lockusher-model/src/configuration_patch.rs
+++ b/crates/lockusher-model/src/configuration_patch.rs
@@ -129,12 +129,7 @@
 }
 
 /// Notes names that are upserted twice, or removed as well.
-fn check_names(
-    reader: &ObjectReader<'_>,
-    list: &str,
-    upsert: &[(String, Value)],
-    remove: &HashSet<String>,
-) {
+fn check_names(reader: &ObjectReader<'_>, list: &str, upsert: &[(String, Value)], remove: &HashSet<String>) {
     let place = |index: usize| format!("upsert.{list}[{index}]");
     let mut first: HashMap<&str, usize> = HashMap::new();
     for (index, (name, _)) in upsert.iter().enumerate() {
--- a/crates/lockusher-model/src/fault.rs
+++ b/crates/lockusher-model/src/fault.rs
@@ -48,7 +48,9 @@
     #[display("expected either service or trafficSplit")]
     ServiceOrSplit,
     /// A field of a whole configuration in a patch.
-    #[display("can't be set by a patch; items go under upsert and remove, all else needs the whole configuration")]
+    #[display(
+        "can't be set by a patch; items go under upsert and remove, all else needs the whole configuration"
+    )]
     NotInPatch,
     /// A list in a patch that a configuration doesn't have.
     #[display("unknown list, expected routes or services")]
--- a/crates/lockusher-model/tests/configuration_patch.rs
+++ b/crates/lockusher-model/tests/configuration_patch.rs
@@ -23,7 +23,8 @@
 }
 
 fn applied(patch: &Value) -> Result<Value, Vec<String>> {
-    let faults = |faults: lockusher_model::fault::Faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let faults =
+        |faults: lockusher_model::fault::Faults| faults.iter().map(ToString::to_string).collect::<Vec<_>>();
     let patch = ConfigurationPatch::parse(patch.to_string().as_bytes()).map_err(faults)?;
     let body = patch.apply(base().to_string().as_bytes()).map_err(faults)?;
     Configuration::parse(&body).expect("what comes of a patch is a valid configuration");
--- a/crates/lockusher-proxy/src/decision/director.rs
+++ b/crates/lockusher-proxy/src/decision/director.rs
@@ -22,6 +22,7 @@
 use super::selection::{Errand, Pick, select};
 use super::service::{GroupKind, Service};
 use super::split::{ReadingChoice, is_split_cheaper};
+use super::trace;
 
 /// What a searcher was sent is taken to be there still for so many times the span in which a second reading is
 /// priced.
@@ -200,6 +201,9 @@
             purpose,
             sent: now,
             tokens: pick.tokens,
+            expected: pick.expected,
+            waited: now.saturating_sub(plan.progress.admitted),
+            target: plan.target,
             at_most: pick.at_most,
             counting,
             holder: plan.progress.holder.get().filter(|_| purpose == Purpose::Decode),
@@ -225,6 +229,7 @@
         }
         let Some(record) = self.sends.remove(&ticket.0) else { return };
         self.loads.ended(now, &record);
+        trace::log_end(now, &record, outcome);
         let settlement = record.progress.ended(&record, outcome);
         let service = &mut self.services[record.service];
         if let (Settlement::Refunded, Some(charge)) = (settlement, record.charge) {
@@ -267,6 +272,7 @@
             return;
         }
         self.loads.first_event(now, record);
+        trace::log_end(now, record, SendOutcome::FirstEvent);
         let service = &mut self.services[record.service];
         if service.searcher(record.searcher).hash != record.hash {
             return;
--- a/crates/lockusher-proxy/src/decision/mod.rs
+++ b/crates/lockusher-proxy/src/decision/mod.rs
@@ -61,6 +61,7 @@
 mod selection;
 mod service;
 mod split;
+mod trace;
 mod work;
 
 pub use director::Director;
--- a/crates/lockusher-proxy/src/decision/plan.rs
+++ b/crates/lockusher-proxy/src/decision/plan.rs
@@ -87,6 +87,12 @@
     pub sent: Micros,
     /// Tokens that it is expected to read or move.
     pub tokens: u32,
+    /// How long it is expected to take, in microseconds.
+    pub expected: f64,
+    /// Time since the request was admitted, in microseconds.
+    pub waited: Micros,
+    /// The request's target latency.
+    pub target: Micros,
     /// Tokens that it reads if it holds only what this proxy itself sent it lately.
     pub at_most: u32,
     pub counting: Counting,
