Trial: short prompts read in place whenever prefill searchers would be later

Cause: short prompts wait behind long ones at prefill searchers. Change: read in place wherever that is expected sooner.

--- a/crates/lockusher-proxy/src/decision/split.rs
+++ b/crates/lockusher-proxy/src/decision/split.rs
@@ -15,14 +15,11 @@
 const INTERFERENCE: f64 = 10.0;
 
 /// A prompt is short if reading it in place takes at most this share of its target latency.
-const SHORT_READING: f64 = 0.1;
-
-/// The wait at prefill searchers is long if the best is expected to take this share of the target latency.
-const LONG_WAIT: f64 = 0.5;
+const SHORT_READING: f64 = 0.25;
 
 /// Decode searchers have time if the best is expected to answer within this share of the target latency. Without this
 /// bound, short prompts clogged them under lasting load (measured: a day's score fell from 0.62 to below 0.2).
-const IDLE_DECODE: f64 = 0.25;
+const IDLE_DECODE: f64 = 0.5;
 
 /// What is known of a request whose prompt may be read in either place.
 #[derive(Clone, Copy, Debug)]
@@ -50,11 +47,11 @@
     INTERFERENCE * reading >= handing_over && !evades_wait(choice, reading)
 }
 
-/// Whether a short prompt goes to an idle decode searcher, as prefill searchers would be late with it.
+/// Whether a short prompt goes to an idle decode searcher, as prefill searchers would be later with it.
 fn evades_wait(choice: &ReadingChoice, reading: f64) -> bool {
     let target = choice.target as f64;
     let is_short = reading <= SHORT_READING * target;
-    let prefill_is_late = choice.prefill.expected >= LONG_WAIT * target;
+    let prefill_is_later = choice.prefill.expected >= choice.whole.expected;
     let decode_is_idle = choice.whole.expected <= IDLE_DECODE * target;
-    is_short && prefill_is_late && decode_is_idle
+    is_short && prefill_is_later && decode_is_idle
 }
