--- a/crates/lockusher-control/src/shell/stage_orders.rs
+++ b/crates/lockusher-control/src/shell/stage_orders.rs
@@ -2,11 +2,13 @@
 //!
 //! Before an order the list that the fleet is given shows the searcher as changing, so that no request meets it on the way.
 
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::time::{sleep, timeout};
+use futures_util::future::join_all;
 use hyper::{Method, Request as HttpRequest, StatusCode};
 use lockusher_model::instances::Stage;
 use lockusher_model::settings::NodeSettings;
@@ -71,30 +73,31 @@
             }
             return;
         };
-        let change = self.plan();
+        let changes = self.plan();
         self.show_marks();
-        let Some(change) = change else { return };
+        if changes.is_empty() {
+            return;
+        }
         sleep(NOTICE).await;
-        let outcome = self.order(fence, &change).await;
-        log::info!("order: {} becomes {:?}: {outcome:?}", change.identifier, change.to);
-        self.planner.ordered(self.now(), &change, outcome);
+        let outcomes = self.order_all(fence, &changes).await;
+        for (change, outcome) in changes.iter().zip(outcomes) {
+            log::info!("order: {} becomes {:?}: {outcome:?}", change.identifier, change.to);
+            self.planner.ordered(self.now(), change, outcome);
+        }
         self.show_marks();
     }
 
-    fn plan(&mut self) -> Option<StageChange> {
+    fn plan(&mut self) -> Vec<StageChange> {
         let now = self.now();
         let (configuration, list, loads, proxies) = self.host.publisher.read(|publisher| {
             let newest = (publisher.configuration().cloned(), publisher.list().cloned());
             (newest.0, newest.1, publisher.loads_behind(), publisher.proxies_behind())
         });
-        let seen = Observation {
-            now,
-            configuration: configuration.as_deref()?,
-            instances: &list.as_ref()?.instances,
-            loads: &loads,
-            proxies,
+        let (Some(configuration), Some(list)) = (configuration.as_deref(), list.as_ref()) else {
+            return Vec::new();
         };
-        self.planner.plan(&seen)
+        let seen = Observation { now, configuration, instances: &list.instances, loads: &loads, proxies };
+        self.planner.plan_all(&seen)
     }
 
     /// Lets the published list show which searchers are changing.
@@ -105,39 +108,49 @@
         }
     }
 
-    async fn order(&mut self, fence: u64, change: &StageChange) -> OrderOutcome {
-        let Ok(address) = change.address.parse() else { return OrderOutcome::Refused };
+    /// Gives the orders side by side, after one confirmation that this node is head still.
+    async fn order_all(&mut self, fence: u64, changes: &[StageChange]) -> Vec<OrderOutcome> {
         let asked = self.now();
         let confirmed = matches!(self.host.request(Request::Read).await, Reply::Document(_));
         if !confirmed || !self.may_send(fence, asked) {
-            return OrderOutcome::NotSent;
+            return vec![OrderOutcome::NotSent; changes.len()];
         }
         let limit = Duration::from_millis(self.lease.attempt_limit());
-        let attempt = self.attempt(address, fence, asked, change, limit / 2);
-        match timeout(limit, attempt).await {
-            Ok(outcome) => outcome,
-            Err(_) => OrderOutcome::Unknown,
-        }
+        let orders = RefCell::new(self);
+        let attempts = changes.iter().map(|change| async {
+            let may_send = || orders.borrow_mut().may_send(fence, asked);
+            let node = orders.borrow().settings.node.clone();
+            let order = Order { change, node: &node, fence, connect_limit: limit / 2 };
+            timeout(limit, order.attempt(may_send)).await.unwrap_or(OrderOutcome::Unknown)
+        });
+        join_all(attempts).await
     }
 
     fn may_send(&mut self, fence: u64, asked: Millis) -> bool {
         self.fence() == Some(fence) && self.lease.is_confirmed(asked, self.now())
     }
+}
 
-    async fn attempt(
-        &mut self,
-        address: SocketAddrV4,
-        fence: u64,
-        asked: Millis,
-        change: &StageChange,
-        connect_limit: Duration,
-    ) -> OrderOutcome {
-        let Ok(stream) = tcp::connect(address, connect_limit).await else { return OrderOutcome::Refused };
+/// One order on its way.
+struct Order<'a> {
+    change: &'a StageChange,
+    node: &'a str,
+    fence: u64,
+    connect_limit: Duration,
+}
+
+impl Order<'_> {
+    /// Sends the order, if it still may be sent once the connection is there.
+    async fn attempt(&self, mut may_send: impl FnMut() -> bool) -> OrderOutcome {
+        let Ok(address) = self.change.address.parse() else { return OrderOutcome::Refused };
+        let Ok(stream) = tcp::connect(address, self.connect_limit).await else {
+            return OrderOutcome::Refused;
+        };
         // What is given up must not be sent again by the kernel later.
         let discards = tcp::discard_on_close(&stream).is_ok();
-        let request = order_request(address, change, &self.settings.node, fence);
+        let request = order_request(address, self.change, self.node, self.fence);
         let Ok(request) = request else { return OrderOutcome::NotSent };
-        if !discards || !self.may_send(fence, asked) {
+        if !discards || !may_send() {
             return OrderOutcome::NotSent;
         }
         match http::exchange(stream, request).await {
