--- a/crates/lockusher-proxy/src/decision/director.rs
+++ b/crates/lockusher-proxy/src/decision/director.rs
@@ -21,7 +21,7 @@
 use super::searcher::Searcher;
 use super::selection::{Errand, Pick, select};
 use super::service::{GroupKind, Service};
-use super::split::{ReadingChoice, is_split_cheaper};
+use super::split::{ReadingChoice, is_split_cheaper, patience_for_prefill};
 use super::trace;
 
 /// What a searcher was sent is taken to be there still for so many times the span in which a second reading is
@@ -156,6 +156,19 @@
         }
     }
 
+    /// How long a prefill call may take before the prompt is better read by a decode searcher, in microseconds; without
+    /// bound where that can't be or doesn't help.
+    pub fn reading_patience(&mut self, now: Micros, plan: &RequestPlan) -> Option<Micros> {
+        let fleet = self.fleet.unwrap_or(UNKNOWN_FLEET);
+        let may_repeat = self.services[plan.service].budget.can_charge(now, fleet);
+        if !may_repeat || !plan.has_attempt(Purpose::Whole) {
+            return None;
+        }
+        let whole = self.pick(now, plan, Purpose::Whole, 0)?;
+        let waited = now.saturating_sub(plan.progress.admitted);
+        patience_for_prefill(plan.target, waited, whole.expected)
+    }
+
     /// Whether KV cache that one decode searcher rejected may be offered to another; else the whole request goes
     /// to a decode searcher.
     pub fn may_hand_over_again(&self, now: Micros, plan: &RequestPlan) -> bool {
--- a/crates/lockusher-proxy/src/decision/split.rs
+++ b/crates/lockusher-proxy/src/decision/split.rs
@@ -55,3 +55,23 @@
     let decode_is_idle = choice.whole.expected <= IDLE_DECODE * target;
     is_short && prefill_is_later && decode_is_idle
 }
+
+/// A prompt is read elsewhere in time if that is expected to take at most this share of the target latency.
+const QUICK_RESCUE: f64 = 0.5;
+
+/// Reading elsewhere may take so many times as long as expected.
+const RESCUE_MARGIN: f64 = 2.0;
+
+/// A prefill call has this share of the target latency at least.
+const LEAST_PATIENCE: f64 = 0.25;
+
+/// How long a prefill call may take, from now, so that a decode searcher can still read the prompt within the target
+/// latency; `elsewhere` is how long that is expected to take. Nothing where it wouldn't be quick.
+pub fn patience_for_prefill(target: Micros, waited: Micros, elsewhere: f64) -> Option<Micros> {
+    let target = target as f64;
+    if elsewhere > QUICK_RESCUE * target {
+        return None;
+    }
+    let latest = target - RESCUE_MARGIN * elsewhere - waited as f64;
+    Some(latest.max(LEAST_PATIENCE * target) as Micros)
+}
--- a/crates/lockusher-proxy/src/send.rs
+++ b/crates/lockusher-proxy/src/send.rs
@@ -108,6 +108,8 @@
     /// KV cache read for this request that no decode searcher has taken yet.
     handle: Option<KvHandle>,
     prefills: u32,
+    /// A prefill call took too long: a decode searcher reads the prompt.
+    reads_in_place: bool,
     /// The stream is taken up behind this event.
     last_event: Option<HeaderValue>,
 }
@@ -130,6 +132,7 @@
             may_have_run: false,
             handle: None,
             prefills: 0,
+            reads_in_place: false,
             last_event: None,
         }
     }
@@ -240,7 +243,9 @@
             }
             let Some((holder, mut send)) = self.choose(Purpose::Prefill) else { return };
             self.prefills += 1;
-            let limit = self.prefill_time();
+            let patience = self.reading_patience();
+            let limit = patience.unwrap_or(Duration::MAX).min(self.prefill_time());
+            let is_overtaken = patience == Some(limit);
             let mut request = self.outgoing(&holder, limit);
             request.headers_mut().insert(headers::STAGE, HeaderValue::from_static("prefill"));
             let call = compio::time::timeout(limit, prefill(&self.shared, &holder, request));
@@ -255,13 +260,24 @@
                     return;
                 }
                 Ok(Err(PrefillFailure::Send(failure))) => send.finish(failure.outcome()),
+                Err(_) if is_overtaken => {
+                    send.finish(SendOutcome::Overtaken);
+                    self.reads_in_place = true;
+                }
                 Err(_) => send.finish(SendOutcome::TimedOut),
             }
         }
     }
 
+    /// How long a prefill call may take before a decode searcher had better read the prompt.
+    fn reading_patience(&self) -> Option<Duration> {
+        let now = self.shared.clock.micros();
+        self.shared.director.borrow_mut().reading_patience(now, &self.plan).map(Duration::from_micros)
+    }
+
     fn splits(&self) -> bool {
-        self.request.has_prompt()
+        !self.reads_in_place
+            && self.request.has_prompt()
             && self.shared.director.borrow().split(self.shared.clock.micros(), &self.plan)
     }
 
