--- a/crates/lockusher-proxy/src/decision/director.rs
+++ b/crates/lockusher-proxy/src/decision/director.rs
@@ -35,6 +35,10 @@
 const STREAM_PATIENCE: u64 = 4;
 const LEAST_STREAM_PATIENCE_MS: u64 = 2_000;
 
+/// The lowest rank that `Priority` can name, and that of a request without it.
+const LOWEST_PRIORITY: u8 = 9;
+const MIDDLE_PRIORITY: u8 = 5;
+
 /// All decisions of one proxy.
 #[derive(Debug)]
 pub struct Director {
@@ -126,6 +130,7 @@
             prefixes,
             tokens: named.max(request.tokens_in),
             may_repeat: request.may_repeat,
+            priority: request.priority,
             attempts: request.attempts.max(1),
             target: request.target_latency_ms * MICROS_PER_MS,
             deadline: now + request.remaining_ms * MICROS_PER_MS,
@@ -194,6 +199,7 @@
                 return Choice::Exhausted;
             }
         }
+        let priority = self.priority(plan, purpose, pick.tokens);
         let ticket = self.take_ticket();
         let counting = plan.counting(purpose);
         plan.progress.sent(purpose, counting);
@@ -231,6 +237,18 @@
             address: searcher.instance.address.clone(),
             zone: searcher.instance.zone.clone(),
             ticket: SendTicket(ticket),
+            priority,
+        }
+    }
+
+    /// The value of `Priority`: short readings go before long ones, all else by the route's rank.
+    fn priority(&self, plan: &RequestPlan, purpose: Purpose, tokens: u32) -> u8 {
+        match purpose {
+            Purpose::Prefill => {
+                let usual = self.services[plan.service].work(purpose).mean_tokens();
+                reading_priority(f64::from(tokens), usual)
+            }
+            Purpose::Whole | Purpose::Decode => plan.priority.min(LOWEST_PRIORITY),
         }
     }
 
@@ -331,6 +349,16 @@
     }
 }
 
+/// `Priority` of a prompt with so many tokens to read where a mean of `usual` is read: the middle for one like that, and
+/// a step for each doubling.
+fn reading_priority(tokens: f64, usual: f64) -> u8 {
+    if usual <= 0.0 {
+        return MIDDLE_PRIORITY;
+    }
+    let steps = (tokens.max(1.0) / usual).log2().round();
+    (f64::from(MIDDLE_PRIORITY) + steps).clamp(0.0, f64::from(LOWEST_PRIORITY)) as u8
+}
+
 /// The time in milliseconds after which a client gives a request up that it has heard nothing of. Clients of
 /// streams don't wait for their deadline.
 fn time_given(request: &RequestFacts) -> u64 {
--- a/crates/lockusher-proxy/src/decision/interface.rs
+++ b/crates/lockusher-proxy/src/decision/interface.rs
@@ -104,7 +104,14 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
     /// Send there and report every outcome with the ticket.
-    Send { identifier: String, address: String, zone: String, ticket: SendTicket },
+    Send {
+        identifier: String,
+        address: String,
+        zone: String,
+        ticket: SendTicket,
+        /// The value of `Priority`, 0 first.
+        priority: u8,
+    },
     /// No searcher can take it now; the request hasn't run at a searcher that was asked for this purpose.
     Refuse { retry_after_ms: u64 },
     /// No further send is allowed: attempts or the retry budget are used up, or no time is left.
--- a/crates/lockusher-proxy/src/decision/plan.rs
+++ b/crates/lockusher-proxy/src/decision/plan.rs
@@ -18,6 +18,8 @@
     /// All tokens of the prompt.
     pub(super) tokens: u32,
     pub(super) may_repeat: bool,
+    /// Rank of the route; 0 is the highest.
+    pub(super) priority: u8,
     pub(super) attempts: u32,
     /// The time within which an answer should begin.
     pub(super) target: Micros,
--- a/crates/lockusher-proxy/src/decision/work.rs
+++ b/crates/lockusher-proxy/src/decision/work.rs
@@ -62,6 +62,11 @@
         self.base = mean_elapsed - self.slope * mean_tokens;
     }
 
+    /// The mean number of tokens lately; 0 before the first sample.
+    pub fn mean_tokens(&self) -> f64 {
+        if self.is_measured() { self.tokens / self.weight } else { 0.0 }
+    }
+
     /// Whether anything was measured.
     pub fn is_measured(&self) -> bool {
         self.weight > 0.0
--- a/crates/lockusher-proxy/src/send.rs
+++ b/crates/lockusher-proxy/src/send.rs
@@ -36,16 +36,12 @@
 /// Clients give no stream up after a shorter silence.
 const LEAST_SILENCE_BORNE: Duration = Duration::from_secs(2);
 
-/// The lowest rank that `Priority` can name.
-const LOWEST_PRIORITY: u8 = 9;
-
 /// What a route says of its requests' sends.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SendTerms {
     pub(crate) may_repeat: bool,
     /// Whether a stream may be taken up elsewhere within one answer.
     pub(crate) resumable: bool,
-    priority: u8,
     /// How long a searcher holds KV cache that it read for another.
     handle_hold: Duration,
     /// How long the client waits for the first event of a stream; absent for other answers.
@@ -57,7 +53,6 @@
         SendTerms {
             may_repeat: route.may_repeat(),
             resumable: route.resumable,
-            priority: route.priority.min(LOWEST_PRIORITY),
             handle_hold: Duration::from_millis(handle_hold_ms),
             first_event: (route.kind == RouteKind::Streaming).then(|| silence_borne(route)),
         }
@@ -110,6 +105,8 @@
     prefills: u32,
     /// A prefill call took too long: a decode searcher reads the prompt.
     reads_in_place: bool,
+    /// `Priority` of the send that was chosen last.
+    priority: u8,
     /// The stream is taken up behind this event.
     last_event: Option<HeaderValue>,
 }
@@ -133,6 +130,7 @@
             handle: None,
             prefills: 0,
             reads_in_place: false,
+            priority: 0,
             last_event: None,
         }
     }
@@ -227,7 +225,8 @@
         let now = self.shared.clock.micros();
         let choice = self.shared.director.borrow_mut().choose(now, &mut self.plan, purpose);
         match choice {
-            Choice::Send { identifier, address, ticket, .. } => {
+            Choice::Send { identifier, address, ticket, priority, .. } => {
+                self.priority = priority;
                 Some((Destination { identifier, address }, self.shared.guard_send(ticket)))
             }
             Choice::Refuse { .. } | Choice::Exhausted => None,
@@ -325,7 +324,7 @@
         let fields = request.headers_mut();
         let left = time.saturating_sub(TRANSIT_RESERVE).as_millis().max(1) as u64;
         fields.insert(headers::DEADLINE_REMAINING, HeaderValue::from(left));
-        fields.insert(headers::PRIORITY, HeaderValue::from(u16::from(self.terms.priority)));
+        fields.insert(headers::PRIORITY, HeaderValue::from(u16::from(self.priority)));
         if let Ok(instance) = HeaderValue::try_from(&destination.identifier) {
             fields.insert(headers::EXPECTED_INSTANCE, instance);
         }
