--- a/crates/lockusher-proxy/src/decision/trace.rs
+++ b/crates/lockusher-proxy/src/decision/trace.rs
@@ -12,8 +12,8 @@
     }
     let ms = |span: Micros| span / MICROS_PER_MS;
     log::debug!(
-        target: "decision",
-        "{purpose:?} {outcome:?} tokens={tokens} waited_ms={waited} expected_ms={expected:.0} took_ms={took} target_ms={target}",
+        target: "lockusher::decision",
+        "decision {purpose:?} {outcome:?} tokens={tokens} waited_ms={waited} expected_ms={expected:.0} took_ms={took} target_ms={target}",
         purpose = record.purpose,
         tokens = record.tokens,
         waited = ms(record.waited),
