--- a/crates/lockusher-control/src/stage_planner.rs
+++ b/crates/lockusher-control/src/stage_planner.rs
@@ -117,23 +117,18 @@
 pub struct Demand {
     /// Prefill searchers that would read all the time.
     pub reading: f64,
-    /// Decode searchers with a full batch or a full KV cache, or that work on a first event all the time, whichever is
-    /// most.
+    /// Decode searchers with a full batch or a full KV cache, whichever is more.
     pub decoding: f64,
 }
 
 impl Demand {
-    /// The demand behind a load that so many searchers bear now. One that serves a queue of mean length N is busy
-    /// N / (1 + N) of the time. At a decode searcher what waits for its first event is fetched or read in place.
-    pub fn of(load: &ServiceLoad, engine: &Engine, prefill: usize, decode: usize) -> Demand {
-        let busy = |waiting: u32, searchers: usize| {
-            let queue = hundredths(waiting) / searchers.max(1) as f64;
-            searchers as f64 * queue / (1.0 + queue)
-        };
+    /// The demand behind a load that `prefill` searchers bear now. One that serves a queue of mean length N is busy
+    /// N / (1 + N) of the time.
+    pub fn of(load: &ServiceLoad, engine: &Engine, prefill: usize) -> Demand {
+        let queue = hundredths(load.prefill_in_flight) / prefill.max(1) as f64;
         let batch = hundredths(load.decode_in_flight) / f64::from(engine.slots.max(1));
         let memory = f64::from(load.decode_tokens) / engine.cache_tokens.max(1) as f64;
-        let beginning = busy(load.decode_waiting, decode);
-        Demand { reading: busy(load.prefill_in_flight, prefill), decoding: batch.max(memory).max(beginning) }
+        Demand { reading: prefill as f64 * queue / (1.0 + queue), decoding: batch.max(memory) }
     }
 
     /// The larger pressure with so many searchers in each stage.
@@ -289,7 +284,7 @@
         }
         let coming = |stage| self.under_way.iter().filter(|under_way| under_way.change.to == stage).count();
         let (read, made) = (prefill + coming(Stage::Prefill), decode + coming(Stage::Decode));
-        let demand = Demand::of(load, engine, prefill, decode);
+        let demand = Demand::of(load, engine, prefill);
         let present = demand.pressure(read, made);
         let best = demand.best_prefill(read + made, read);
         let worthwhile = demand.pressure(best, read + made - best) <= present * WORTHWHILE;
