--- a/crates/lockusher-control/src/shell/stage_orders.rs
+++ b/crates/lockusher-control/src/shell/stage_orders.rs
@@ -2,13 +2,11 @@
 //!
 //! Before an order the list that the fleet is given shows the searcher as changing, so that no request meets it on the way.
 
-use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::time::{sleep, timeout};
-use futures_util::future::join_all;
 use hyper::{Method, Request as HttpRequest, StatusCode};
 use lockusher_model::instances::Stage;
 use lockusher_model::settings::NodeSettings;
@@ -73,31 +71,30 @@
             }
             return;
         };
-        let changes = self.plan();
+        let change = self.plan();
         self.show_marks();
-        if changes.is_empty() {
-            return;
-        }
+        let Some(change) = change else { return };
         sleep(NOTICE).await;
-        let outcomes = self.order_all(fence, &changes).await;
-        for (change, outcome) in changes.iter().zip(outcomes) {
-            log::info!("order: {} becomes {:?}: {outcome:?}", change.identifier, change.to);
-            self.planner.ordered(self.now(), change, outcome);
-        }
+        let outcome = self.order(fence, &change).await;
+        log::info!("order: {} becomes {:?}: {outcome:?}", change.identifier, change.to);
+        self.planner.ordered(self.now(), &change, outcome);
         self.show_marks();
     }
 
-    fn plan(&mut self) -> Vec<StageChange> {
+    fn plan(&mut self) -> Option<StageChange> {
         let now = self.now();
         let (configuration, list, loads, proxies) = self.host.publisher.read(|publisher| {
             let newest = (publisher.configuration().cloned(), publisher.list().cloned());
             (newest.0, newest.1, publisher.loads_behind(), publisher.proxies_behind())
         });
-        let (Some(configuration), Some(list)) = (configuration.as_deref(), list.as_ref()) else {
-            return Vec::new();
+        let seen = Observation {
+            now,
+            configuration: configuration.as_deref()?,
+            instances: &list.as_ref()?.instances,
+            loads: &loads,
+            proxies,
         };
-        let seen = Observation { now, configuration, instances: &list.instances, loads: &loads, proxies };
-        self.planner.plan_all(&seen)
+        self.planner.plan(&seen)
     }
 
     /// Lets the published list show which searchers are changing.
@@ -108,49 +105,39 @@
         }
     }
 
-    /// Gives the orders side by side, after one confirmation that this node is head still.
-    async fn order_all(&mut self, fence: u64, changes: &[StageChange]) -> Vec<OrderOutcome> {
+    async fn order(&mut self, fence: u64, change: &StageChange) -> OrderOutcome {
+        let Ok(address) = change.address.parse() else { return OrderOutcome::Refused };
         let asked = self.now();
         let confirmed = matches!(self.host.request(Request::Read).await, Reply::Document(_));
         if !confirmed || !self.may_send(fence, asked) {
-            return vec![OrderOutcome::NotSent; changes.len()];
+            return OrderOutcome::NotSent;
         }
         let limit = Duration::from_millis(self.lease.attempt_limit());
-        let orders = RefCell::new(self);
-        let attempts = changes.iter().map(|change| async {
-            let may_send = || orders.borrow_mut().may_send(fence, asked);
-            let node = orders.borrow().settings.node.clone();
-            let order = Order { change, node: &node, fence, connect_limit: limit / 2 };
-            timeout(limit, order.attempt(may_send)).await.unwrap_or(OrderOutcome::Unknown)
-        });
-        join_all(attempts).await
+        let attempt = self.attempt(address, fence, asked, change, limit / 2);
+        match timeout(limit, attempt).await {
+            Ok(outcome) => outcome,
+            Err(_) => OrderOutcome::Unknown,
+        }
     }
 
     fn may_send(&mut self, fence: u64, asked: Millis) -> bool {
         self.fence() == Some(fence) && self.lease.is_confirmed(asked, self.now())
     }
-}
 
-/// One order on its way.
-struct Order<'a> {
-    change: &'a StageChange,
-    node: &'a str,
-    fence: u64,
-    connect_limit: Duration,
-}
-
-impl Order<'_> {
-    /// Sends the order, if it still may be sent once the connection is there.
-    async fn attempt(&self, mut may_send: impl FnMut() -> bool) -> OrderOutcome {
-        let Ok(address) = self.change.address.parse() else { return OrderOutcome::Refused };
-        let Ok(stream) = tcp::connect(address, self.connect_limit).await else {
-            return OrderOutcome::Refused;
-        };
+    async fn attempt(
+        &mut self,
+        address: SocketAddrV4,
+        fence: u64,
+        asked: Millis,
+        change: &StageChange,
+        connect_limit: Duration,
+    ) -> OrderOutcome {
+        let Ok(stream) = tcp::connect(address, connect_limit).await else { return OrderOutcome::Refused };
         // What is given up must not be sent again by the kernel later.
         let discards = tcp::discard_on_close(&stream).is_ok();
-        let request = order_request(address, self.change, self.node, self.fence);
+        let request = order_request(address, change, &self.settings.node, fence);
         let Ok(request) = request else { return OrderOutcome::NotSent };
-        if !discards || !may_send() {
+        if !discards || !self.may_send(fence, asked) {
             return OrderOutcome::NotSent;
         }
         match http::exchange(stream, request).await {
--- a/crates/lockusher-control/src/stage_planner.rs
+++ b/crates/lockusher-control/src/stage_planner.rs
@@ -156,11 +156,6 @@
         StagePlanner { list_lag, services: BTreeMap::new() }
     }
 
-    /// The changes to order now; they count as under way from now on.
-    pub fn plan_all(&mut self, seen: &Observation) -> Vec<StageChange> {
-        std::iter::from_fn(|| self.plan(seen)).collect()
-    }
-
     /// The next change to order, if one is due; it counts as under way from now on.
     pub fn plan(&mut self, seen: &Observation) -> Option<StageChange> {
         for service in &seen.configuration.services {
@@ -251,10 +246,7 @@
         load: &ServiceLoad,
         searchers: &[&Instance],
     ) -> Option<StageChange> {
-        // The list shows what is under way a little later.
-        let is_settled = |searcher: &&&Instance| !self.is_under_way(searcher);
-        let settled: Vec<&Instance> = searchers.iter().filter(is_settled).copied().collect();
-        let ready = |stage| settled.iter().filter(|searcher| is_ready(searcher, stage)).count();
+        let ready = |stage| searchers.iter().filter(|searcher| is_ready(searcher, stage)).count();
         let (prefill, decode) = (ready(Stage::Prefill), ready(Stage::Decode));
         let to = self.wanted(engine, load, prefill, decode);
         let since = self.wish.filter(|(stage, _)| Some(*stage) == to).map_or(now, |(_, since)| since);
@@ -270,11 +262,7 @@
         if now < self.rests_until || reverses_early || !persists || !has_room {
             return None;
         }
-        self.pick(other(to), &settled)
-    }
-
-    fn is_under_way(&self, searcher: &Instance) -> bool {
-        self.under_way.iter().any(|under_way| under_way.change.identifier == searcher.identifier)
+        self.pick(other(to), searchers)
     }
 
     /// The stage that should have one more searcher. Those under way count where they go.
