--- a/crates/lockusher-proxy/src/decision/director.rs
+++ b/crates/lockusher-proxy/src/decision/director.rs
@@ -154,7 +154,7 @@
         match (prefill, whole) {
             (Some(prefill), Some(whole)) => {
                 let (tokens, target) = (plan.tokens, plan.target);
-                let choice = ReadingChoice { tokens, target, prefill: &prefill, whole: &whole };
+                let choice = ReadingChoice { now, tokens, target, prefill: &prefill, whole: &whole };
                 is_split_cheaper(service, &choice)
             }
             (prefill, _) => prefill.is_some(),
@@ -171,7 +171,7 @@
         }
         let whole = self.pick(now, plan, Purpose::Whole, 0)?;
         let waited = now.saturating_sub(plan.progress.admitted);
-        patience_for_prefill(&self.services[plan.service], plan.target, waited, &whole)
+        patience_for_prefill(&self.services[plan.service], now, plan.target, waited, &whole)
     }
 
     /// Whether KV cache that one decode searcher rejected may be offered to another; else the whole request goes
@@ -231,6 +231,7 @@
             progress: Rc::clone(&plan.progress),
         };
         self.loads.sent(now, &record);
+        self.services[record.service].sent(now, purpose);
         self.sends.insert(ticket, record);
         Choice::Send {
             identifier: searcher.instance.identifier.clone(),
@@ -260,6 +261,7 @@
         }
         let Some(record) = self.sends.remove(&ticket.0) else { return };
         self.loads.ended(now, &record);
+        self.services[record.service].ended(now, record.purpose);
         trace::log_end(now, &record, outcome);
         let settlement = record.progress.ended(&record, outcome);
         let service = &mut self.services[record.service];
--- a/crates/lockusher-proxy/src/decision/mod.rs
+++ b/crates/lockusher-proxy/src/decision/mod.rs
@@ -54,6 +54,7 @@
 mod handover;
 mod interface;
 mod load;
+mod occupancy;
 mod places;
 mod plan;
 mod scoring;
