--- a/crates/lockusher-proxy/src/decision/director.rs
+++ b/crates/lockusher-proxy/src/decision/director.rs
@@ -204,6 +204,7 @@
         let counting = plan.counting(purpose);
         plan.progress.sent(purpose, counting);
         let service = &mut self.services[plan.service];
+        service.sent(now, purpose);
         service.searcher_mut(pick.searcher).sent(now, ticket);
         service.chains.note(now, pick.searcher, &plan.prefixes);
         if purpose == Purpose::Prefill {
@@ -231,7 +232,6 @@
             progress: Rc::clone(&plan.progress),
         };
         self.loads.sent(now, &record);
-        self.services[record.service].sent(now, purpose);
         self.sends.insert(ticket, record);
         Choice::Send {
             identifier: searcher.instance.identifier.clone(),
