--- a/crates/lockusher-proxy/src/decision/split.rs
+++ b/crates/lockusher-proxy/src/decision/split.rs
@@ -14,6 +14,10 @@
 /// Reading in place keeps the other requests of the batch waiting: its reading time counts so many times more.
 const INTERFERENCE: f64 = 10.0;
 
+/// A reading in place holds those up that run there for so many times as long as one at a prefill searcher would: at half
+/// the pace, and in pieces between their tokens.
+const HELD_UP_IN_PLACE: f64 = 3.0;
+
 /// A prompt is short if reading it in place takes at most this share of its target latency.
 const SHORT_READING: f64 = 0.1;
 
@@ -75,10 +79,13 @@
 }
 
 /// Whether a reading in place holds up fewer requests than one at a prefill searcher: it takes longer, and all that are at
-/// the searcher wait meanwhile.
+/// the searcher wait meanwhile. Never under overload: there it counts that a reading in place takes twice the work.
 fn holds_up_fewer(service: &Service, now: Micros) -> bool {
+    if service.gate.is_late() {
+        return false;
+    }
     let (reading, running) = service.sends_out(now);
-    SLOWER_IN_PLACE * running <= reading
+    HELD_UP_IN_PLACE * running <= reading
 }
 
 /// Reading elsewhere may take so many times as long as expected.
