--- a/crates/lockusher-proxy/src/decision/budget.rs
+++ b/crates/lockusher-proxy/src/decision/budget.rs
@@ -74,12 +74,6 @@
         Some(Charge(slot))
     }
 
-    /// Whether one more repeat could be paid for.
-    pub fn can_charge(&mut self, now: Micros, fleet: u32) -> bool {
-        let slot = self.advance(now);
-        self.has_room(slot, fleet)
-    }
-
     /// Takes a charge back: the repeat has reached no searcher, or doesn't count.
     pub fn refund(&mut self, charge: Charge) {
         if charge.0 + (KEPT as u64) > self.newest {
--- a/crates/lockusher-proxy/src/decision/director.rs
+++ b/crates/lockusher-proxy/src/decision/director.rs
@@ -21,7 +21,7 @@
 use super::searcher::Searcher;
 use super::selection::{Errand, Pick, select};
 use super::service::{GroupKind, Service};
-use super::split::{ReadingChoice, is_split_cheaper, patience_for_prefill};
+use super::split::{ReadingChoice, is_split_cheaper};
 use super::trace;
 
 /// What a searcher was sent is taken to be there still for so many times the span in which a second reading is
@@ -154,26 +154,13 @@
         match (prefill, whole) {
             (Some(prefill), Some(whole)) => {
                 let (tokens, target) = (plan.tokens, plan.target);
-                let choice = ReadingChoice { now, tokens, target, prefill: &prefill, whole: &whole };
+                let choice = ReadingChoice { tokens, target, prefill: &prefill, whole: &whole };
                 is_split_cheaper(service, &choice)
             }
             (prefill, _) => prefill.is_some(),
         }
     }
 
-    /// How long a prefill call may take before the prompt is better read by a decode searcher, in microseconds; without
-    /// bound where that can't be or doesn't help.
-    pub fn reading_patience(&mut self, now: Micros, plan: &RequestPlan) -> Option<Micros> {
-        let fleet = self.fleet.unwrap_or(UNKNOWN_FLEET);
-        let may_repeat = self.services[plan.service].budget.can_charge(now, fleet);
-        if !may_repeat || !plan.has_attempt(Purpose::Whole) {
-            return None;
-        }
-        let whole = self.pick(now, plan, Purpose::Whole, 0)?;
-        let waited = now.saturating_sub(plan.progress.admitted);
-        patience_for_prefill(&self.services[plan.service], now, plan.target, waited, &whole)
-    }
-
     /// Whether KV cache that one decode searcher rejected may be offered to another; else the whole request goes
     /// to a decode searcher.
     pub fn may_hand_over_again(&self, now: Micros, plan: &RequestPlan) -> bool {
@@ -204,7 +191,6 @@
         let counting = plan.counting(purpose);
         plan.progress.sent(purpose, counting);
         let service = &mut self.services[plan.service];
-        service.sent(now, purpose);
         service.searcher_mut(pick.searcher).sent(now, ticket);
         service.chains.note(now, pick.searcher, &plan.prefixes);
         if purpose == Purpose::Prefill {
@@ -261,7 +247,6 @@
         }
         let Some(record) = self.sends.remove(&ticket.0) else { return };
         self.loads.ended(now, &record);
-        self.services[record.service].ended(now, record.purpose);
         trace::log_end(now, &record, outcome);
         let settlement = record.progress.ended(&record, outcome);
         let service = &mut self.services[record.service];
--- a/crates/lockusher-proxy/src/decision/gate.rs
+++ b/crates/lockusher-proxy/src/decision/gate.rs
@@ -79,7 +79,7 @@
         self.offered.iter_mut().for_each(|count| *count *= keep);
         self.offered_at = now;
         self.offered[rank] += 1.0;
-        if self.is_late() && !self.has_place(now, rank) {
+        if self.lateness > LATE && !self.has_place(now, rank) {
             return None;
         }
         let place = &self.places.0[rank];
@@ -87,11 +87,6 @@
         Some(Waiting { places: Rc::clone(&self.places), rank })
     }
 
-    /// Whether answers take so long that the gate acts.
-    pub fn is_late(&self) -> bool {
-        self.lateness > LATE
-    }
-
     fn has_place(&self, now: Micros, rank: usize) -> bool {
         let places = self.pace(now) * ALLOWED * self.given;
         let all: f64 = self.offered.iter().sum();
--- a/crates/lockusher-proxy/src/decision/interface.rs
+++ b/crates/lockusher-proxy/src/decision/interface.rs
@@ -137,6 +137,4 @@
     TimedOut,
     /// Given up on this side for reasons that say nothing of the searcher (the client left).
     Cancelled,
-    /// A prefill call that took too long: given up on this side in favour of reading elsewhere.
-    Overtaken,
 }
--- a/crates/lockusher-proxy/src/decision/mod.rs
+++ b/crates/lockusher-proxy/src/decision/mod.rs
@@ -54,7 +54,6 @@
 mod handover;
 mod interface;
 mod load;
-mod occupancy;
 mod places;
 mod plan;
 mod scoring;
--- a/crates/lockusher-proxy/src/decision/searcher.rs
+++ b/crates/lockusher-proxy/src/decision/searcher.rs
@@ -186,7 +186,7 @@
         let sample = match outcome {
             SendOutcome::FirstEvent | SendOutcome::Answered => elapsed,
             SendOutcome::Rejected => elapsed.max(FULL * floor),
-            SendOutcome::Cancelled | SendOutcome::Overtaken => elapsed.max(standing.latency),
+            SendOutcome::Cancelled => elapsed.max(standing.latency),
             _ => elapsed.max(floor),
         };
         let seconds = now.saturating_sub(self.heard) as f64 / 1e6;
@@ -252,7 +252,7 @@
                 self.failures += 1;
                 blend(&mut self.good, 0.0, UNREACHABLE);
             }
-            SendOutcome::Rejected | SendOutcome::Cancelled | SendOutcome::Overtaken => {}
+            SendOutcome::Rejected | SendOutcome::Cancelled => {}
         }
     }
 
--- a/crates/lockusher-proxy/src/decision/service.rs
+++ b/crates/lockusher-proxy/src/decision/service.rs
@@ -10,7 +10,6 @@
 use super::gate::Gate;
 use super::handover::Handovers;
 use super::interface::{Micros, Purpose, SendOutcome};
-use super::occupancy::Occupancy;
 use super::places::{Distance, Place, Places};
 use super::plan::{Incarnation, SendRecord};
 use super::searcher::{Peers, Searcher, SearcherId};
@@ -85,10 +84,6 @@
     by_identifier: HashMap<String, SearcherId>,
     groups: [Group; 3],
     work: [Work; 3],
-    /// Own prefill calls out.
-    reading: Occupancy,
-    /// Own sends out that run a request.
-    running: Occupancy,
 }
 
 impl Service {
@@ -106,36 +101,9 @@
             by_identifier: HashMap::new(),
             groups: Default::default(),
             work: Default::default(),
-            reading: Occupancy::default(),
-            running: Occupancy::default(),
         }
     }
 
-    /// Notes a send.
-    pub fn sent(&mut self, now: Micros, purpose: Purpose) {
-        self.occupancy(purpose).sent(now);
-    }
-
-    /// Notes the end of a send.
-    pub fn ended(&mut self, now: Micros, purpose: Purpose) {
-        self.occupancy(purpose).ended(now);
-    }
-
-    fn occupancy(&mut self, purpose: Purpose) -> &mut Occupancy {
-        match purpose {
-            Purpose::Prefill => &mut self.reading,
-            Purpose::Whole | Purpose::Decode => &mut self.running,
-        }
-    }
-
-    /// Own sends out at a prefill searcher and at a decode searcher, averaged over time and searchers.
-    pub fn sends_out(&self, now: Micros) -> (f64, f64) {
-        let each = |occupancy: &Occupancy, kind| {
-            occupancy.mean(now) / self.group(kind).candidates.len().max(1) as f64
-        };
-        (each(&self.reading, GroupKind::Prefill), each(&self.running, GroupKind::Decode))
-    }
-
     /// Takes the service's part of the list.
     pub fn apply(&mut self, now: Micros, instances: &[&Instance], places: &mut Places, own: Place) {
         let mut listed = HashSet::new();
--- a/crates/lockusher-proxy/src/decision/split.rs
+++ b/crates/lockusher-proxy/src/decision/split.rs
@@ -14,10 +14,6 @@
 /// Reading in place keeps the other requests of the batch waiting: its reading time counts so many times more.
 const INTERFERENCE: f64 = 10.0;
 
-/// A reading in place holds those up that run there for so many times as long as one at a prefill searcher would: at half
-/// the pace, and in pieces between their tokens.
-const HELD_UP_IN_PLACE: f64 = 3.0;
-
 /// A prompt is short if reading it in place takes at most this share of its target latency.
 const SHORT_READING: f64 = 0.1;
 
@@ -28,14 +24,9 @@
 /// bound, short prompts clogged them under lasting load (measured: a day's score fell from 0.62 to below 0.2).
 const IDLE_DECODE: f64 = 0.25;
 
-/// The same two bounds where reading in place holds up fewer requests.
-const QUICK_READING: f64 = 0.25;
-const QUICK_ANSWER: f64 = 0.5;
-
 /// What is known of a request whose prompt may be read in either place.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadingChoice<'a> {
-    pub now: Micros,
     /// All tokens of the prompt.
     pub tokens: u32,
     /// The time within which the answer should begin.
@@ -55,59 +46,15 @@
         return true;
     }
     let handing_over = reads.least() + moves.slope() * f64::from(choice.tokens);
-    let reading = reading_in_place(service, choice.whole);
-    INTERFERENCE * reading >= handing_over && !evades_wait(service, choice, reading)
-}
-
-/// How long a decode searcher reads what it may not hold, in microseconds.
-fn reading_in_place(service: &Service, whole: &Pick) -> f64 {
-    SLOWER_IN_PLACE * service.work(Purpose::Prefill).quickest() * f64::from(whole.at_most)
+    let reading = SLOWER_IN_PLACE * reads.quickest() * f64::from(choice.whole.at_most);
+    INTERFERENCE * reading >= handing_over && !evades_wait(choice, reading)
 }
 
-/// Whether a short prompt goes to an idle decode searcher, as prefill searchers would be late with it, or later and that
-/// holds up fewer requests.
-fn evades_wait(service: &Service, choice: &ReadingChoice, reading: f64) -> bool {
+/// Whether a short prompt goes to an idle decode searcher, as prefill searchers would be late with it.
+fn evades_wait(choice: &ReadingChoice, reading: f64) -> bool {
     let target = choice.target as f64;
-    let (prefill, whole) = (choice.prefill.expected, choice.whole.expected);
-    let evades_lateness =
-        reading <= SHORT_READING * target && prefill >= LONG_WAIT * target && whole <= IDLE_DECODE * target;
-    let evades_queue = reading <= QUICK_READING * target
-        && prefill >= whole
-        && whole <= QUICK_ANSWER * target
-        && holds_up_fewer(service, choice.now);
-    evades_lateness || evades_queue
-}
-
-/// Whether a reading in place holds up fewer requests than one at a prefill searcher: it takes longer, and all that are at
-/// the searcher wait meanwhile. Never under overload: there it counts that a reading in place takes twice the work.
-fn holds_up_fewer(service: &Service, now: Micros) -> bool {
-    if service.gate.is_late() {
-        return false;
-    }
-    let (reading, running) = service.sends_out(now);
-    HELD_UP_IN_PLACE * running <= reading
-}
-
-/// Reading elsewhere may take so many times as long as expected.
-const RESCUE_MARGIN: f64 = 2.0;
-
-/// A prefill call has this share of the target latency at least.
-const LEAST_PATIENCE: f64 = 0.25;
-
-/// How long a prefill call may take, from now, so that a decode searcher can still read the prompt within the target
-/// latency. Nothing for a long prompt, and where decode searchers are busy: the wait would only move there.
-pub fn patience_for_prefill(
-    service: &Service,
-    now: Micros,
-    target: Micros,
-    waited: Micros,
-    whole: &Pick,
-) -> Option<Micros> {
-    let target = target as f64;
-    let is_short = reading_in_place(service, whole) <= QUICK_READING * target;
-    if !is_short || whole.expected > QUICK_ANSWER * target || !holds_up_fewer(service, now) {
-        return None;
-    }
-    let latest = target - RESCUE_MARGIN * whole.expected - waited as f64;
-    Some(latest.max(LEAST_PATIENCE * target) as Micros)
+    let is_short = reading <= SHORT_READING * target;
+    let prefill_is_late = choice.prefill.expected >= LONG_WAIT * target;
+    let decode_is_idle = choice.whole.expected <= IDLE_DECODE * target;
+    is_short && prefill_is_late && decode_is_idle
 }
--- a/crates/lockusher-proxy/src/send.rs
+++ b/crates/lockusher-proxy/src/send.rs
@@ -103,8 +103,6 @@
     /// KV cache read for this request that no decode searcher has taken yet.
     handle: Option<KvHandle>,
     prefills: u32,
-    /// A prefill call took too long: a decode searcher reads the prompt.
-    reads_in_place: bool,
     /// `Priority` of the send that was chosen last.
     priority: u8,
     /// The stream is taken up behind this event.
@@ -129,7 +127,6 @@
             may_have_run: false,
             handle: None,
             prefills: 0,
-            reads_in_place: false,
             priority: 0,
             last_event: None,
         }
@@ -242,9 +239,7 @@
             }
             let Some((holder, mut send)) = self.choose(Purpose::Prefill) else { return };
             self.prefills += 1;
-            let patience = self.reading_patience();
-            let limit = patience.unwrap_or(Duration::MAX).min(self.prefill_time());
-            let is_overtaken = patience == Some(limit);
+            let limit = self.prefill_time();
             let mut request = self.outgoing(&holder, limit);
             request.headers_mut().insert(headers::STAGE, HeaderValue::from_static("prefill"));
             let call = compio::time::timeout(limit, prefill(&self.shared, &holder, request));
@@ -259,24 +254,13 @@
                     return;
                 }
                 Ok(Err(PrefillFailure::Send(failure))) => send.finish(failure.outcome()),
-                Err(_) if is_overtaken => {
-                    send.finish(SendOutcome::Overtaken);
-                    self.reads_in_place = true;
-                }
                 Err(_) => send.finish(SendOutcome::TimedOut),
             }
         }
     }
 
-    /// How long a prefill call may take before a decode searcher had better read the prompt.
-    fn reading_patience(&self) -> Option<Duration> {
-        let now = self.shared.clock.micros();
-        self.shared.director.borrow_mut().reading_patience(now, &self.plan).map(Duration::from_micros)
-    }
-
     fn splits(&self) -> bool {
-        !self.reads_in_place
-            && self.request.has_prompt()
+        self.request.has_prompt()
             && self.shared.director.borrow().split(self.shared.clock.micros(), &self.plan)
     }
 
