Lab: a table of the decision trace

Cause: the trace had to be read by hand. Change: lockusher-fleet-lab decisions; a method of the simulation is renamed for the linter.

--- a/crates/lockusher-control/src/simulation/calls.rs
+++ b/crates/lockusher-control/src/simulation/calls.rs
@@ -149,7 +149,7 @@
                 operator.change = None;
                 operator.believed = operator.believed.max(change.version);
                 if !change.again {
-                    operator.acknowledged.push(change.clone().from_beginning());
+                    operator.acknowledged.push(change.clone().restarted());
                 }
                 self.history.acknowledge(change.identity, self.now);
             }
--- a/crates/lockusher-control/src/simulation/operator.rs
+++ b/crates/lockusher-control/src/simulation/operator.rs
@@ -158,7 +158,7 @@
     }
 
     /// The same as it is to be sent first.
-    pub fn from_beginning(mut self) -> Self {
+    pub fn restarted(mut self) -> Self {
         if let Content::Patch { base } = &mut self.content {
             *base = None;
         }
--- a/crates/lockusher-fleet-lab/src/lib.rs
+++ b/crates/lockusher-fleet-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod checker;
 pub mod client;
 pub mod configuration;
+pub mod decisions;
 pub mod demo;
 pub mod deployment;
 pub mod engine;
--- a/crates/lockusher-fleet-lab/src/main.rs
+++ b/crates/lockusher-fleet-lab/src/main.rs
@@ -8,6 +8,7 @@
 
 use derive_more::{Display, Error, From};
 use getopts::{Matches, Options};
+use lockusher_fleet_lab::decisions::{TraceError, read_trace, table};
 use lockusher_fleet_lab::demo::{DemoError, DemoPlan, Outcome, play};
 use lockusher_fleet_lab::hunt::{HuntPlan, draw_day, play_day};
 use lockusher_fleet_lab::report::{PlotError, page};
@@ -27,7 +28,7 @@
     #[display("--{option}: {value:?} is not {expected}")]
     #[from(ignore)]
     Value { option: &'static str, value: String, expected: &'static str },
-    #[display("unknown command {_0:?}: expected demo, load, hunt or report")]
+    #[display("unknown command {_0:?}: expected demo, load, hunt, report or decisions")]
     #[from(ignore)]
     UnknownCommand(#[error(not(source))] String),
     #[display("{_0}")]
@@ -36,6 +37,14 @@
     RunFile(RunFileError),
     #[display("{_0}")]
     Plot(PlotError),
+    #[display("{path}: {source}")]
+    #[from(ignore)]
+    Log { path: String, source: std::io::Error },
+    #[display("{path}: {source}")]
+    #[from(ignore)]
+    Trace { path: String, source: TraceError },
+    #[display("decisions: expected the logs of proxies")]
+    NoLogs,
     #[display("report: expected the files of one or more runs")]
     NoRuns,
     #[display("{path}: {source}")]
@@ -66,6 +75,7 @@
         Some("load") => play(&plan(&matches, false, 20)?)?,
         Some("hunt") => return hunt(&matches),
         Some("report") => return report(&matches),
+        Some("decisions") => return decisions(&matches),
         other => return Err(CommandError::UnknownCommand(other.unwrap_or_default().to_owned())),
     };
     if let Some(path) = matches.opt_str("save") {
@@ -76,11 +86,12 @@
 }
 
 const BRIEF: &str = "\
-Usage: lockusher-fleet-lab (demo|load|hunt) [options]\n       lockusher-fleet-lab report [--page FILE] RUN...
+Usage: lockusher-fleet-lab (demo|load|hunt) [options]\n       lockusher-fleet-lab report [--page FILE] RUN...\n       lockusher-fleet-lab decisions LOG...
 
   demo   starts a fleet on the loopback, shows it under load and troubles, and ends by itself
   load   the same without troubles: figures of a load at given rates
   hunt   days with troubles drawn by chance, to find broken rules; logs of a broken day are kept
+  decisions a table of where sends wait, of logs of proxies at the level debug
   report a page with figures and plots of runs that were saved, side by side
 
 Exit code: 0 no rule broken, 1 a rule was broken or a process ended by itself, 2 nothing was measured.";
@@ -106,6 +117,23 @@
     options
 }
 
+/// Prints the table of all logs together.
+fn decisions(matches: &Matches) -> Result<ExitCode, CommandError> {
+    let mut sends = Vec::new();
+    let paths = &matches.free[1..];
+    if paths.is_empty() {
+        return Err(CommandError::NoLogs);
+    }
+    for path in paths {
+        let log = std::fs::read(path).map_err(|source| CommandError::Log { path: path.clone(), source })?;
+        let of_log = read_trace(&String::from_utf8_lossy(&log))
+            .map_err(|source| CommandError::Trace { path: path.clone(), source })?;
+        sends.extend(of_log);
+    }
+    print!("{}", table(&sends));
+    Ok(ExitCode::SUCCESS)
+}
+
 fn plan(matches: &Matches, troubles: bool, seconds: u64) -> Result<DemoPlan, CommandError> {
     const COUNT: &str = "a whole number";
     let world = WorldPlan {
