Answer before the client gives up: 40 ms of its time are kept for the way back

The proxy waited for a searcher until the very end of Deadline-Remaining, so its 504 left the proxy when the client had gone: the test passed only where the client's milliseconds were rounded down by more than the way back took. Change: deadline.rs keeps 40 ms, of short times a tenth, for the proxy's own answer; a stream that has begun may take all of the time. The test's client waits for three times as long as it says, so that a busy machine can't fail it; that the time is kept is now shown without a clock by what searchers are handed (a_searchers_time_leaves_time_for_the_way_back).

--- a/crates/lockusher-fleet-lab/src/request.rs
+++ b/crates/lockusher-fleet-lab/src/request.rs
@@ -27,7 +27,7 @@
     pub attempts: u32,
     /// How long the client says that it waits in all.
     pub deadline: Duration,
-    /// A client that leaves sooner than it said does so after this time.
+    /// A client that leaves at another time than it said does so after this time.
     pub leaves_after: Option<Duration>,
     /// Objective to the end of the answer, or to the first event of a stream.
     pub aim: Duration,
@@ -65,7 +65,7 @@
 
     /// How long the client really waits.
     pub fn patience(&self) -> Duration {
-        self.leaves_after.map_or(self.deadline, |leaves| leaves.min(self.deadline))
+        self.leaves_after.unwrap_or(self.deadline)
     }
 
     /// The silence after which a client gives a stream up.
--- a/crates/lockusher-proxy/src/forward.rs
+++ b/crates/lockusher-proxy/src/forward.rs
@@ -9,6 +9,7 @@
 use lockusher_model::configuration::{Configuration, Route};
 
 use crate::answer::{self, Answer, AnswerBody};
+use crate::deadline::Deadlines;
 use crate::decision::{Admission, RequestFacts, SendOutcome};
 use crate::headers;
 use crate::prefill::read_small;
@@ -35,16 +36,15 @@
         return answer::own(StatusCode::NOT_FOUND);
     };
     let timeout = Duration::from_millis(route.timeout_ms);
-    let allowed = request.patience.map_or(timeout, |patience| patience.min(timeout));
-    let deadline = request.arrived + allowed;
+    let deadlines = Deadlines::new(request.arrived, request.patience, timeout);
     let service = shared.choose_service(route);
-    let facts = facts(&request, route, service, deadline);
+    let facts = facts(&request, route, service, deadlines.answer);
     let admission = shared.director.borrow_mut().admit(shared.clock.micros(), &facts);
     match admission {
         Admission::Refuse { retry_after_ms } => answer::refusal(retry_after_ms),
         Admission::Go(plan) => {
             let terms = SendTerms::new(route, handle_hold_ms(routes.configuration(), service));
-            pass_on(Sends::new(shared.clone(), request, terms, deadline, plan)).await
+            pass_on(Sends::new(shared.clone(), request, terms, deadlines, plan)).await
         }
     }
 }
--- a/crates/lockusher-proxy/src/lib.rs
+++ b/crates/lockusher-proxy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod client;
+mod deadline;
 mod descriptors;
 mod error;
 mod events;
--- a/crates/lockusher-proxy/src/relay.rs
+++ b/crates/lockusher-proxy/src/relay.rs
@@ -65,7 +65,8 @@
 type PolledFrame = Poll<Option<Result<Frame<Bytes>, AnswerAborted>>>;
 
 impl Relay {
-    pub(crate) fn new(sends: Sends, accepted: Accepted) -> (Response<()>, Self) {
+    pub(crate) fn new(mut sends: Sends, accepted: Accepted) -> (Response<()>, Self) {
+        sends.allow_whole_time();
         let resumable = sends.terms.resumable && is_event_stream(&accepted.exchange.response);
         let (head, running) = Running::new(sends, accepted);
         let splitter = resumable.then(EventSplitter::default);
--- a/crates/lockusher-proxy/src/send.rs
+++ b/crates/lockusher-proxy/src/send.rs
@@ -14,6 +14,7 @@
 use hyper::{Request, Response, StatusCode};
 use lockusher_model::configuration::{Route, RouteKind};
 
+use crate::deadline::{CLIENT_RESERVE, Deadlines};
 use crate::decision::{Choice, Purpose, RequestPlan, SendOutcome};
 use crate::headers;
 use crate::prefill::{KvHandle, PrefillFailure, prefill};
@@ -24,9 +25,6 @@
 /// What is kept of the client's time for the answer's way back.
 const TRANSIT_RESERVE: Duration = Duration::from_millis(5);
 
-/// A refusal leaves this long before the client gives the request up by itself.
-const PATIENCE_RESERVE: Duration = Duration::from_millis(40);
-
 /// With less time left than this nothing is sent any more.
 const LEAST_SEND_TIME: Duration = Duration::from_millis(10);
 
@@ -95,7 +93,7 @@
     shared: Rc<Shared>,
     request: ClientRequest,
     pub(crate) terms: SendTerms,
-    deadline: Instant,
+    deadlines: Deadlines,
     timer: Sleep,
     plan: RequestPlan,
     /// A send may have run the request.
@@ -114,15 +112,15 @@
         shared: Rc<Shared>,
         request: ClientRequest,
         terms: SendTerms,
-        deadline: Instant,
+        deadlines: Deadlines,
         plan: RequestPlan,
     ) -> Self {
         Sends {
             shared,
             request,
             terms,
-            deadline,
-            timer: compio::time::sleep_until(deadline),
+            deadlines,
+            timer: compio::time::sleep_until(deadlines.answer),
             plan,
             may_have_run: false,
             handle: None,
@@ -144,6 +142,11 @@
         &mut self.timer
     }
 
+    /// An answer has begun: it may take all of the client's time.
+    pub(crate) fn allow_whole_time(&mut self) {
+        self.timer = compio::time::sleep_until(self.deadlines.end);
+    }
+
     /// Goes on with a stream that broke behind an event that the client was given.
     pub(crate) fn resume_behind(&mut self, event_id: Option<HeaderValue>) {
         self.last_event = event_id.or(self.last_event.take());
@@ -193,14 +196,14 @@
     }
 
     fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadlines.answer.saturating_duration_since(Instant::now())
     }
 
     /// How long a prefill call may take: what comes after the client has given up is read for nothing.
     fn prefill_time(&self) -> Duration {
         let Some(first_event) = self.terms.first_event else { return self.remaining() };
         let waited = self.request.arrived.elapsed();
-        self.remaining().min(first_event.saturating_sub(waited + PATIENCE_RESERVE))
+        self.remaining().min(first_event.saturating_sub(waited + CLIENT_RESERVE))
     }
 
     fn out_of_time(&self) -> NoAnswer {
--- a/crates/lockusher-proxy/tests/crossings.rs
+++ b/crates/lockusher-proxy/tests/crossings.rs
@@ -338,6 +338,29 @@
     });
 }
 
+/// The client waits for five seconds, of which 40 ms are kept for an answer of the proxy's own and 5 ms for the
+/// searcher's; of a tenth of a second it is a tenth. A proxy that works until the client has left hands on more.
+#[parameterized(
+    of_a_long_time = { 5_000, 4_955 },
+    of_a_short_time = { 100, 85 },
+)]
+fn a_searchers_time_leaves_time_for_the_way_back(client_ms: u64, most_ms: u64) {
+    run(async {
+        let searcher = Searcher::plain("i-1").await;
+        let proxy = Proxy::serving(&[&searcher]).await;
+        let mut client = proxy.client().await;
+        client
+            .write(&format!(
+                "GET /once/ HTTP/1.1\r\nHost: desk.example\r\nRequest-Identifier: id-1\r\n\
+                 Deadline-Remaining: {client_ms}\r\n\r\n"
+            ))
+            .await;
+        let handed_on = searcher.accept().await.head().await.field("deadline-remaining").map(str::to_owned);
+        let handed_on: u64 = handed_on.and_then(|field| field.parse().ok()).expect("a number");
+        assert!(handed_on <= most_ms, "{handed_on} of {client_ms}");
+    });
+}
+
 /// Where in a stream it breaks.
 #[derive(Clone, Copy)]
 enum Point {
