Untie the decisions' modules: shared types below those that use them

Cause: interface needed plan, which needed interface; chains and searcher, answer and relay needed each other.

--- a/crates/lockusher-proxy/src/answer.rs
+++ b/crates/lockusher-proxy/src/answer.rs
@@ -4,22 +4,16 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 
-use crate::relay::Relay;
+use crate::relay::{AnswerAborted, Relay};
 use crate::request::RequestError;
 
 /// When to come back after the proxy itself has no room or is not set up yet, in milliseconds.
 const DEFAULT_RETRY_MS: u64 = 250;
 
-/// The answer broke off; the client's connection is closed without a proper end.
-#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-#[display("the answer broke off")]
-pub(crate) struct AnswerAborted;
-
 /// The body of an answer to a client.
 #[derive(Debug)]
 pub(crate) enum AnswerBody {
--- a/crates/lockusher-proxy/src/client/connection.rs
+++ b/crates/lockusher-proxy/src/client/connection.rs
@@ -16,8 +16,9 @@
 
 use super::registry::ClientState;
 use super::stream::ClientStream;
-use crate::answer::{AnswerAborted, AnswerBody, closing};
+use crate::answer::{AnswerBody, closing};
 use crate::forward::forward;
+use crate::relay::AnswerAborted;
 use crate::shared::{RequestInHand, Shared};
 
 /// The least buffer that the HTTP library works with.
--- a/crates/lockusher-proxy/src/decision/budget.rs
+++ b/crates/lockusher-proxy/src/decision/budget.rs
@@ -5,7 +5,7 @@
 //! proxy keeps, for every window, `repeats <= ratio x own requests in the window before it + its share of the
 //! slack`. These bounds add up over the proxies to the rule, without any talk.
 
-use super::interface::Micros;
+use super::types::Micros;
 
 /// Slots that a window is cut into.
 const SLOTS: u64 = 64;
--- a/crates/lockusher-proxy/src/decision/chains.rs
+++ b/crates/lockusher-proxy/src/decision/chains.rs
@@ -3,8 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasherDefault, Hasher};
 
-use super::interface::{Micros, PromptPart};
-use super::searcher::SearcherId;
+use super::types::{Micros, PromptPart, SearcherId};
 
 /// Leading parts of a prompt, named by a hash of their ids in order.
 pub type ChainKey = u64;
--- a/crates/lockusher-proxy/src/decision/director.rs
+++ b/crates/lockusher-proxy/src/decision/director.rs
@@ -11,10 +11,7 @@
 
 use super::budget::{RetryBudget, UNKNOWN_FLEET};
 use super::chains::prefixes;
-use super::interface::{
-    Admission, Choice, DirectorSettings, MICROS_PER_MS, Micros, Purpose, RequestFacts, SendOutcome,
-    SendTicket,
-};
+use super::interface::{Admission, Choice, DirectorSettings, RequestFacts, SendTicket};
 use super::load::Loads;
 use super::places::{Place, Places};
 use super::plan::{Progress, RequestPlan, SendRecord, Settlement};
@@ -23,6 +20,7 @@
 use super::service::{GroupKind, Service};
 use super::split::{ReadingChoice, is_split_cheaper};
 use super::trace;
+use super::types::{MICROS_PER_MS, Micros, Purpose, SendOutcome};
 
 /// What a searcher was sent is taken to be there still for so many times the span in which a second reading is
 /// priced.
--- a/crates/lockusher-proxy/src/decision/gate.rs
+++ b/crates/lockusher-proxy/src/decision/gate.rs
@@ -9,7 +9,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use super::interface::Micros;
+use super::types::Micros;
 
 /// Ranks that are told apart; lower ones count as the last.
 const RANKS: usize = 10;
--- a/crates/lockusher-proxy/src/decision/handover.rs
+++ b/crates/lockusher-proxy/src/decision/handover.rs
@@ -5,7 +5,7 @@
 //! either end by as much as the other end has been good for lately: a searcher that takes nothing says little
 //! against a handle, and a handle of a searcher whose handles lapse says little against the one that rejects it.
 
-use super::interface::Micros;
+use super::types::Micros;
 
 /// Weight of the newest hand-over in a service's share.
 const NEWEST: f64 = 1.0 / 8.0;
--- a/crates/lockusher-proxy/src/decision/interface.rs
+++ b/crates/lockusher-proxy/src/decision/interface.rs
@@ -6,12 +6,7 @@
 use lockusher_model::settings::NodeSettings;
 
 use super::plan::RequestPlan;
-
-/// A moment on a steady clock, in microseconds since any fixed start.
-pub type Micros = u64;
-
-/// Microseconds in a millisecond.
-pub const MICROS_PER_MS: u64 = 1_000;
+use super::types::PromptPart;
 
 /// What a director is told of its node and its promises.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,13 +40,6 @@
     }
 }
 
-/// One part of a prompt, as named in `Prompt-Prefix`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct PromptPart {
-    pub id: u64,
-    pub tokens: u32,
-}
-
 /// What a request says of itself, and its route of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestFacts {
@@ -85,17 +73,6 @@
     Refuse { retry_after_ms: u64 },
 }
 
-/// What a send is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Purpose {
-    /// The whole request at one searcher. At a service with stages its decode searcher reads the prompt itself.
-    Whole,
-    /// Only the prompt is read; the searcher holds the KV cache for a decode searcher.
-    Prefill,
-    /// A decode searcher fetches the KV cache that a prefill searcher holds, then streams.
-    Decode,
-}
-
 /// Names one send between its choice and its final outcome.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SendTicket(pub(super) u64);
@@ -117,24 +94,3 @@
     /// No further send is allowed: attempts or the retry budget are used up, or no time is left.
     Exhausted,
 }
-
-/// What became of a send. Each send ends with exactly one outcome other than `FirstEvent`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum SendOutcome {
-    /// The first event of a stream came (interim).
-    FirstEvent,
-    /// The whole answer came.
-    Answered,
-    /// The searcher said that it hasn't run the request (`Not-Executed` with 429 or 503).
-    Rejected,
-    /// The address belongs to another searcher or stage (421); nothing ran.
-    Misdirected,
-    /// No connection came up; nothing was sent.
-    Unreachable,
-    /// An error of its own, a reset, a broken or odd answer: it may have run.
-    Failed,
-    /// Silent until the request's time was up.
-    TimedOut,
-    /// Given up on this side for reasons that say nothing of the searcher (the client left).
-    Cancelled,
-}
--- a/crates/lockusher-proxy/src/decision/load.rs
+++ b/crates/lockusher-proxy/src/decision/load.rs
@@ -5,8 +5,8 @@
 
 use lockusher_distribution::load::{HUNDREDTHS, ServiceLoad};
 
-use super::interface::{MICROS_PER_MS, Micros, Purpose};
 use super::plan::SendRecord;
+use super::types::{MICROS_PER_MS, Micros, Purpose};
 
 /// A second in microseconds.
 const SECOND: Micros = 1_000 * MICROS_PER_MS;
--- a/crates/lockusher-proxy/src/decision/mod.rs
+++ b/crates/lockusher-proxy/src/decision/mod.rs
@@ -63,11 +63,10 @@
 mod service;
 mod split;
 mod trace;
+mod types;
 mod work;
 
 pub use director::Director;
-pub use interface::{
-    Admission, Choice, DirectorSettings, MICROS_PER_MS, Micros, PromptPart, Purpose, RequestFacts,
-    SendOutcome, SendTicket,
-};
+pub use interface::{Admission, Choice, DirectorSettings, RequestFacts, SendTicket};
 pub use plan::RequestPlan;
+pub use types::{MICROS_PER_MS, Micros, PromptPart, Purpose, SendOutcome};
--- a/crates/lockusher-proxy/src/decision/plan.rs
+++ b/crates/lockusher-proxy/src/decision/plan.rs
@@ -6,9 +6,8 @@
 use super::budget::Charge;
 use super::chains::Prefix;
 use super::gate::Waiting;
-use super::interface::{Micros, Purpose, SendOutcome};
 use super::places::Place;
-use super::searcher::SearcherId;
+use super::types::{Micros, Purpose, SearcherId, SendOutcome};
 
 /// A request from its admission to its end; kept by the caller.
 #[derive(Debug)]
--- a/crates/lockusher-proxy/src/decision/searcher.rs
+++ b/crates/lockusher-proxy/src/decision/searcher.rs
@@ -3,12 +3,9 @@
 use lockusher_model::instances::{Instance, Stage};
 
 use super::chains::mix;
-use super::interface::{Micros, SendOutcome};
 use super::places::{Distance, Place};
 use super::scoring::{NEWEST, blend};
-
-/// Names a searcher within its service.
-pub type SearcherId = u32;
+use super::types::{Micros, SendOutcome};
 
 /// What is left after one step of the averages of an idle searcher: they are half forgotten in eight seconds,
 /// so that one that was slow once is tried again.
--- a/crates/lockusher-proxy/src/decision/selection.rs
+++ b/crates/lockusher-proxy/src/decision/selection.rs
@@ -1,12 +1,12 @@
 //! Which searcher gets the next send of a request.
 
 use super::chains::{Prefix, mix, shared};
-use super::interface::{Micros, Purpose};
 use super::places::{Distance, Place};
 use super::plan::Incarnation;
 use super::scoring::score;
-use super::searcher::{Peers, Searcher, SearcherId, Standing};
+use super::searcher::{Peers, Searcher, Standing};
 use super::service::{Group, GroupKind, Service};
+use super::types::{Micros, Purpose, SearcherId};
 
 /// How many times as long the wait at a prompt's home may be as at the best searcher: reading shared parts once
 /// more elsewhere makes all others wait. Measured with 1.25 to 20 on the model, with 10 and 30 on the bench.
--- a/crates/lockusher-proxy/src/decision/service.rs
+++ b/crates/lockusher-proxy/src/decision/service.rs
@@ -9,10 +9,10 @@
 use super::chains::{ChainKey, ChainMemory};
 use super::gate::Gate;
 use super::handover::Handovers;
-use super::interface::{Micros, Purpose, SendOutcome};
 use super::places::{Distance, Place, Places};
 use super::plan::{Incarnation, SendRecord};
-use super::searcher::{Peers, Searcher, SearcherId};
+use super::searcher::{Peers, Searcher};
+use super::types::{Micros, Purpose, SearcherId, SendOutcome};
 use super::work::Work;
 
 /// The means of a stage's searchers are worked out anew after this time at the latest, if anything was heard.
--- a/crates/lockusher-proxy/src/decision/split.rs
+++ b/crates/lockusher-proxy/src/decision/split.rs
@@ -4,9 +4,9 @@
 //! are long, the stages of searchers follow the load; long prompts that evade them to decode searchers take several times
 //! as much of a searcher there and keep it from making tokens.
 
-use super::interface::{Micros, Purpose};
 use super::selection::Pick;
 use super::service::Service;
+use super::types::{Micros, Purpose};
 
 /// The pages say that a decode searcher reads at half the pace.
 const SLOWER_IN_PLACE: f64 = 2.0;
--- a/crates/lockusher-proxy/src/decision/trace.rs
+++ b/crates/lockusher-proxy/src/decision/trace.rs
@@ -2,8 +2,8 @@
 //!
 //! `lockusher-fleet-lab decisions` makes a table of these lines.
 
-use super::interface::{MICROS_PER_MS, Micros, SendOutcome};
 use super::plan::SendRecord;
+use super::types::{MICROS_PER_MS, Micros, SendOutcome};
 
 /// Logs what became of a send: its first event, or its end where none came before.
 pub fn log_end(now: Micros, record: &SendRecord, outcome: SendOutcome) {
--- a/crates/lockusher-proxy/src/relay.rs
+++ b/crates/lockusher-proxy/src/relay.rs
@@ -5,11 +5,11 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use derive_more::{Display, Error};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 
-use crate::answer::AnswerAborted;
 use crate::decision::SendOutcome;
 use crate::events::{EventSplitter, lies_behind};
 use crate::headers;
@@ -18,6 +18,11 @@
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::exchange::{Destination, Exchange, SendFailure, is_silence};
 
+/// The answer broke off; the client's connection is closed without a proper end.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("the answer broke off")]
+pub(crate) struct AnswerAborted;
+
 /// A body on its way from a searcher to a client. Dropped before its end, it closes the searcher's connection
 /// and reports the send as cancelled.
 #[derive(Debug)]
