Only a prompt's homes are rated by what they hold

Cause: searchers that this proxy had lately sent leading parts of a prompt competed by what they seemed to have left to read; where they no longer held it, they won wrongly. Change: the memory of sends counts for the homes alone (held_by); prefer_holders is gone, and 17 lines with it. The proxy's tests pass.

--- a/crates/lockusher-proxy/src/decision/chains.rs
+++ b/crates/lockusher-proxy/src/decision/chains.rs
@@ -130,17 +130,12 @@
         self.order.retain(|(key, _)| holders.contains_key(key));
     }
 
-    /// The searchers that were sent some of these prefixes after `since`, with the most tokens that each holds.
-    pub fn held(&self, since: Micros, prefixes: &[Prefix]) -> Vec<(SearcherId, u32)> {
-        let mut held: Vec<(SearcherId, u32)> = Vec::new();
-        for prefix in prefixes.iter().rev() {
-            let holders = self.holders.get(&prefix.key).into_iter().flatten();
-            for holder in holders.filter(|holder| holder.sent >= since) {
-                if !held.iter().any(|(searcher, _)| *searcher == holder.searcher) {
-                    held.push((holder.searcher, prefix.tokens));
-                }
-            }
-        }
-        held
+    /// The most tokens of these prefixes that a searcher holds of what it was sent after `since`.
+    pub fn held_by(&self, searcher: SearcherId, since: Micros, prefixes: &[Prefix]) -> u32 {
+        let was_sent = |prefix: &&Prefix| {
+            let mut holders = self.holders.get(&prefix.key).into_iter().flatten();
+            holders.any(|holder| holder.searcher == searcher && holder.sent >= since)
+        };
+        prefixes.iter().rev().find(was_sent).map_or(0, |prefix| prefix.tokens)
     }
 }
--- a/crates/lockusher-proxy/src/decision/selection.rs
+++ b/crates/lockusher-proxy/src/decision/selection.rs
@@ -66,7 +66,6 @@
     id: SearcherId,
     tokens: u32,
     at_most: u32,
-    score: f64,
     /// The score with an exponent of 1: grows as the wait at a searcher that reads one prompt after the other.
     wait: f64,
     expected: f64,
@@ -118,17 +117,15 @@
         Rater { service, kind, group, errand, peers: *service.peers(kind), now, usual_of_all, handover }
     }
 
-    /// The best by score, then what speaks for holders and homes.
+    /// The best by score, then what speaks for homes.
     fn scan(&self, judge: bool) -> Option<Rated> {
         let best = match self.lowest(judge) {
             Found::Trial(id) => return Some(self.rate_reading(id, 0)),
             Found::Lowest(id) => id?,
         };
-        let mut best = self.rate_reading(best, 0);
+        let best = self.rate_reading(best, 0);
         let Some(shared) = shared(self.errand.prefixes) else { return Some(best) };
-        let held = self.service.chains.held(self.errand.held_since, self.errand.prefixes);
-        self.prefer_holders(&mut best, &held, judge);
-        Some(self.prefer_home(best, &held, shared, judge))
+        Some(self.prefer_home(best, shared, judge))
     }
 
     /// The one searcher that may be chosen, while it takes requests.
@@ -172,30 +169,14 @@
         !is_out && !self.errand.tried.contains(&id)
     }
 
-    /// Lets those compete by what they have left to read that were lately sent leading parts of the prompt.
-    fn prefer_holders(&self, best: &mut Rated, held: &[(SearcherId, u32)], judge: bool) {
-        if !self.reads() {
-            return;
-        }
-        for &(id, tokens) in held {
-            if self.service.group_of(id) != Some(self.kind) || !self.is_eligible(id, judge) {
-                continue;
-            }
-            let rated = self.rate_reading(id, tokens);
-            if rated.score < best.score {
-                *best = rated;
-            }
-        }
-    }
-
     /// Takes the prompt's first home if the wait there isn't much longer than at the best, else the second.
-    fn prefer_home(&self, best: Rated, held: &[(SearcherId, u32)], shared: Prefix, judge: bool) -> Rated {
+    fn prefer_home(&self, best: Rated, shared: Prefix, judge: bool) -> Rated {
         let mut likely = true;
         for id in self.group.homes(shared.key, self.near(shared)).into_iter().flatten() {
             if !self.is_eligible(id, judge) {
                 continue;
             }
-            let known = held.iter().find(|(holder, _)| *holder == id).map_or(0, |(_, tokens)| *tokens);
+            let known = self.service.chains.held_by(id, self.errand.held_since, self.errand.prefixes);
             // Other proxies send it there too, so the first home that isn't new holds the shared parts.
             let is_new = self.service.searcher(id).is_new(self.now);
             let assumed = if likely && !is_new && self.errand.prefixes.len() > 1 { shared.tokens } else { 0 };
@@ -251,7 +232,6 @@
             id,
             tokens,
             at_most: tokens,
-            score: score(standing.in_flight, standing.queue, latency),
             wait: (standing.in_flight + standing.queue + 1.0) * latency,
             expected: (standing.latency * usual).max(searcher.silence(self.now)),
         }
