A session's first turns go to its home from every zone

Change: the first home's patience goes by all that it may hold, a session's one part included; the time it is expected to take stays that of reading all.

--- a/crates/lockusher-proxy/src/decision/selection.rs
+++ b/crates/lockusher-proxy/src/decision/selection.rs
@@ -177,15 +177,18 @@
                 continue;
             }
             let known = self.service.chains.held_by(id, self.errand.held_since, self.errand.prefixes);
-            // Other proxies send it there too, so the first home that isn't new holds the shared parts.
+            // Other proxies send it there too, so the first home that isn't new holds the shared parts. A prompt of one part
+            // may be a session's, of which another proxy sent the turns before.
             let is_new = self.service.searcher(id).is_new(self.now);
-            let assumed = if likely && !is_new && self.errand.prefixes.len() > 1 { shared.tokens } else { 0 };
+            let may_hold = if likely && !is_new { shared.tokens } else { 0 };
+            let assumed = if self.errand.prefixes.len() > 1 { may_hold } else { 0 };
             likely &= is_new;
             let mut rated = self.rate_reading(id, known.max(assumed));
             if self.reads() {
                 rated.at_most = self.errand.tokens.saturating_sub(known);
             }
-            if rated.wait <= self.patience(rated.tokens) * best.wait {
+            let left = self.errand.tokens.saturating_sub(known.max(may_hold));
+            if rated.wait <= self.patience(left) * best.wait {
                 return rated;
             }
         }
--- a/crates/lockusher-proxy/tests/decision_homes.rs
+++ b/crates/lockusher-proxy/tests/decision_homes.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// A session's turns may come to any proxy: all choose the same searcher, though it is in another zone for some.
+#[test]
+fn proxies_in_other_zones_agree_on_a_sessions_searcher() {
+    let list = spread_fleet(6, 6, 3);
+    for id in 0..20 {
+        let parts = vec![PromptPart { id, tokens: 3_000 }];
+        let session = RequestFacts { prompt: parts, tokens_in: 3_000, ..prompt(1, 1) };
+        let first_turn = |number: usize| {
+            let mut director = director_in(zone(number), &list, number as u64);
+            serve(&mut director, 0, &session, Purpose::Prefill, 60 * MS)
+        };
+        assert_eq!(first_turn(0), first_turn(1));
+        assert_eq!(first_turn(0), first_turn(2));
+    }
+}
+
 #[test]
 fn a_home_that_is_busy_is_left() {
     let mut director = director(&split_fleet(4, 4), 1);
