Read once more: a constant's name, two comments, a case without a test

Cause: LEAST_RESERVE_PARTS had to be asked about; a comment claimed measurements of the rule before; patience() spoke of what is left where it goes by what may be left; the time that a begun stream may take has no test of its own. No behaviour changes.

--- a/crates/lockusher-proxy/src/deadline.rs
+++ b/crates/lockusher-proxy/src/deadline.rs
@@ -6,8 +6,8 @@
 /// An answer of our own is begun this long before the client gives the request up by itself.
 pub(crate) const CLIENT_RESERVE: Duration = Duration::from_millis(40);
 
-/// Of a short time the reserve is at most one part in so many.
-const LEAST_RESERVE_PARTS: u32 = 10;
+/// Of a short time the reserve is the whole divided by this at most.
+const RESERVE_DIVISOR: u32 = 10;
 
 /// The limits of one request's time.
 #[derive(Clone, Copy, Debug)]
@@ -30,5 +30,5 @@
 
 /// What is left of a client's time once the reserve is kept.
 fn time_to_answer(patience: Duration) -> Duration {
-    patience - CLIENT_RESERVE.min(patience / LEAST_RESERVE_PARTS)
+    patience - CLIENT_RESERVE.min(patience / RESERVE_DIVISOR)
 }
--- a/crates/lockusher-proxy/src/decision/selection.rs
+++ b/crates/lockusher-proxy/src/decision/selection.rs
@@ -10,7 +10,7 @@
 
 /// How many times longer than at the best searcher the wait at a prompt's home may be, if the home spared all of the
 /// reading; in proportion if it spares a part. What is read once more elsewhere makes all others wait there. Measured
-/// with 1.25 to 20 on the model, with 10 and 30 on the bench.
+/// with 15 and 30 on the bench.
 const READER_PATIENCE: f64 = 30.0;
 
 /// The same for decode searchers, where a home saves a reading only if the prompt isn't handed over, and keeps
@@ -195,7 +195,7 @@
         best
     }
 
-    /// How many times as long as at the best searcher the wait at a home may be that has `left` tokens to read.
+    /// How many times as long as at the best searcher the wait may be at a home that may have only `left` tokens to read.
     fn patience(&self, left: u32) -> f64 {
         if self.kind == GroupKind::Decode {
             return DECODE_PATIENCE;
