Long messages on thin links: progress counts as life, short ones pass, time by size

Cause: a frame had 1.5 s, a subscriber gave up a publisher after 1.2 s without a complete message, a publisher a subscriber after 5 s, so that by reckoning nothing above 1.8 MB got through 10 Mbit/s. In the simulation, with links of 10 Mbit/s, a configuration of 1 MB was never acknowledged through a node that isn't the head: what was forwarded was sent again every 0.2 s and more, all copies waited on the same link, and members were left out as lagging.

Change: frames are read and written as long as bytes move (at least 1 Mbit/s); a subscriber that has taken a long frame counts as active; control nodes have a second connection to each peer for messages above 32 KB, so that heartbeats don't wait; time limits and resends of entries, transfers and forwarded changes grow by size over half of limits.linkMbps. A transfer goes on as long as its connection lives; after a break it starts anew.

--- a/crates/lockusher-agent/src/peers/configuration_fetch.rs
+++ b/crates/lockusher-agent/src/peers/configuration_fetch.rs
@@ -11,11 +11,13 @@
 use lockusher_distribution::message::{Envelope, SubscriberIdentity, ToSubscriber};
 use lockusher_distribution::subscriber::Subscriber;
 use lockusher_transport::clock::Clock;
+use lockusher_transport::error::TransportError;
 use lockusher_transport::frame;
 
 use crate::error::ConfigurationFetchError;
 
-/// The longest that a fetch may take, from connecting to the configuration.
+/// How long connecting may take, and the wait for a newer configuration. One that has begun to arrive may take the time
+/// that its length needs.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Fetches the newest configuration that the agent at `peer` has, if it is newer than `local`.
@@ -35,14 +37,7 @@
     if let Some(local) = local {
         subscriber.offer_configuration(local);
     }
-    let fetch = receive_newer(peer, subscriber, local_version, clock);
-    let timed_out = |_| ConfigurationFetchError::TimedOut {
-        peer,
-        local_version,
-    };
-    compio::time::timeout(FETCH_TIMEOUT, fetch)
-        .await
-        .map_err(timed_out)?
+    receive_newer(peer, subscriber, local_version, clock).await
 }
 
 /// Subscribes at `peer` until a configuration above `local_version` comes.
@@ -62,8 +57,16 @@
         .write(&Envelope::encode(&subscriber.subscribe(clock.millis())))
         .await
         .map_err(broken)?;
-    loop {
-        let envelope = reader.read().await.map_err(broken)?;
+    let timed_out = || ConfigurationFetchError::TimedOut {
+        peer,
+        local_version,
+    };
+    let deadline_ms = clock.millis() + FETCH_TIMEOUT.as_millis() as u64;
+    while clock.millis() < deadline_ms {
+        let envelope = match reader.read_within(FETCH_TIMEOUT).await {
+            Err(TransportError::TimedOut { .. }) => return Err(timed_out()),
+            received => received.map_err(broken)?,
+        };
         let message: ToSubscriber = envelope.decode().map_err(unreadable)?;
         let answer = subscriber.receive(clock.millis(), message);
         match subscriber.configuration() {
@@ -77,4 +80,5 @@
                 .map_err(broken)?;
         }
     }
+    Err(timed_out())
 }
--- a/crates/lockusher-config/src/settings.rs
+++ b/crates/lockusher-config/src/settings.rs
@@ -118,8 +118,8 @@
     /// File descriptors of the process; key `limits.fileDescriptors`, by default 1024. The proxy limits its connections by
     /// it.
     pub file_descriptors: u64,
-    /// Bandwidth of the machine's link in megabits a second; key `limits.linkMbps`, by default 100. No program acts on
-    /// it.
+    /// Bandwidth of the machine's link in megabits a second; key `limits.linkMbps`, by default 100. By it a control node
+    /// gives others time for long messages.
     pub link_mbps: f64,
     /// Space on the disk in megabytes; key `limits.diskMb`, by default 64. The control node's log keeps within it.
     pub disk_mb: u64,
--- a/crates/lockusher-control-simulation/src/cluster.rs
+++ b/crates/lockusher-control-simulation/src/cluster.rs
@@ -88,7 +88,7 @@
             now: 0,
             fault_random: ChaCha8Rng::seed_from_u64(options.seed),
             random,
-            network: Network::default(),
+            network: Network::with_links_of(options.link_bytes_per_ms),
             nodes,
             operators: (0..OPERATOR_COUNT).map(Operator::new).collect(),
             violations: ViolationLog::default(),
--- a/crates/lockusher-control-simulation/src/network.rs
+++ b/crates/lockusher-control-simulation/src/network.rs
@@ -6,7 +6,8 @@
     net::SocketAddrV4,
 };
 
-use lockusher_control::{Envelope, Message, Millis};
+use lockusher_control::message::{MessageBody, Payload, Transfer};
+use lockusher_control::{Envelope, Message, Millis, Reply, Request};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -20,6 +21,10 @@
     /// A sender whose messages are kept back, and those that are.
     congested_sender: Option<SocketAddrV4>,
     congested: Vec<Delivery>,
+    /// Bytes that each machine's link carries in a millisecond, in one direction; none if it is never the limit.
+    bytes_per_ms: Option<u64>,
+    /// Until when a machine's link carries the long messages that it has sent.
+    busy_until: BTreeMap<SocketAddrV4, Millis>,
     /// Messages lost, in percent.
     pub loss: u32,
     /// Messages duplicated, in percent.
@@ -42,17 +47,28 @@
 
 /// One message in so many is encoded and decoded on its way.
 const ENCODE_ONE_MESSAGE_IN: u64 = 16;
+/// A message with a longer configuration takes the connection for long messages.
+const MAX_SHORT_BYTES: u64 = 32 * 1024;
 /// Normal time in flight.
 const NORMAL_DELAY_MS: std::ops::RangeInclusive<Millis> = 1..=12;
 /// Time in flight of a delayed message.
 const LONG_DELAY_MS: std::ops::RangeInclusive<Millis> = 20..=1500;
 
 impl Network {
+    /// A network whose machines have links of this bandwidth, in bytes per millisecond.
+    pub fn with_links_of(bytes_per_ms: Option<u64>) -> Self {
+        Self {
+            bytes_per_ms,
+            ..Self::default()
+        }
+    }
+
     /// Sends a message; it goes through its form on the wire.
     pub fn send(&mut self, delivery: Delivery, now: Millis, random: &mut ChaCha8Rng) {
         self.sent += 1;
         let deliveries = 1 + u32::from(random.random_ratio(self.duplicated, 100));
         for _ in 0..deliveries {
+            let carried_at = self.carried_at(&delivery, now);
             let lost = random.random_ratio(self.loss, 100);
             let delayed = random.random_ratio(self.delayed, 100);
             let delay = random.random_range(if delayed {
@@ -61,11 +77,26 @@
                 NORMAL_DELAY_MS
             });
             if !lost {
-                self.hold(delivery.clone(), now + delay);
+                self.hold(delivery.clone(), carried_at + delay);
             }
         }
     }
 
+    /// When the sender's link has carried a message. Long ones wait for each other; short ones pass them, on a connection of
+    /// their own.
+    fn carried_at(&mut self, delivery: &Delivery, now: Millis) -> Millis {
+        let Some(bytes_per_ms) = self.bytes_per_ms else {
+            return now;
+        };
+        let document_bytes = document_bytes(&delivery.message);
+        if document_bytes <= MAX_SHORT_BYTES {
+            return now;
+        }
+        let busy_until = self.busy_until.entry(delivery.from).or_default();
+        *busy_until = now.max(*busy_until) + document_bytes / bytes_per_ms;
+        *busy_until
+    }
+
     /// Lets a message arrive at this time.
     pub fn hold(&mut self, delivery: Delivery, until: Millis) {
         self.next += 1;
@@ -143,3 +174,28 @@
         is_congested || partitioned.any(|(from, to)| *from == address || *to == address)
     }
 }
+
+/// Length of the configuration that a message carries.
+fn document_bytes(message: &Message) -> u64 {
+    let document = match &message.body {
+        MessageBody::Append { document, .. }
+        | MessageBody::Forward {
+            body: Request::Put { document, .. },
+            ..
+        }
+        | MessageBody::Transfer(Transfer {
+            payload: Payload::LatestDocument { document, .. },
+            ..
+        })
+        | MessageBody::ForwardResponse {
+            reply: Reply::Document(Some(document)),
+            ..
+        } => Some(document),
+        MessageBody::Transfer(Transfer {
+            payload: Payload::FullSnapshot(state),
+            ..
+        }) => state.document(),
+        _ => None,
+    };
+    document.map_or(0, |document| document.body.len() as u64)
+}
--- a/crates/lockusher-control-simulation/src/observation.rs
+++ b/crates/lockusher-control-simulation/src/observation.rs
@@ -1,6 +1,8 @@
 //! What a scenario reads of the cluster, and requests that it makes.
 
-use lockusher_control::{Millis, Replica, Reply, Request};
+use std::sync::Arc;
+
+use lockusher_control::{ConfigurationDocument, Millis, Replica, Reply, Request};
 
 use crate::{
     cluster::{ACKNOWLEDGE_MS, Cluster},
@@ -103,6 +105,25 @@
             .map(|_| self.now - since)
     }
 
+    /// One operator sends a configuration of this size to a machine; the time until it was acknowledged.
+    pub fn write_document(
+        &mut self,
+        number: usize,
+        version: u64,
+        bytes: usize,
+        limit: Millis,
+    ) -> Option<Millis> {
+        let body = format!("{{\"version\":{version}}}{}", " ".repeat(bytes));
+        let document = ConfigurationDocument::new(version, Arc::from(body.into_bytes()));
+        let request = Request::Put {
+            if_match: self.version(),
+            document,
+        };
+        let since = self.now;
+        let reply = self.request_within(number, request, limit);
+        (reply == Some(Reply::Accepted)).then(|| self.now - since)
+    }
+
     /// Asks one machine to read; its answer within a second, if any.
     pub fn read_at(&mut self, number: usize) -> Option<Reply> {
         self.request(number, Request::Read)
--- a/crates/lockusher-control-simulation/src/options.rs
+++ b/crates/lockusher-control-simulation/src/options.rs
@@ -14,6 +14,8 @@
     /// Machines of each zone at the start, in the order of their numbers, so that the seeds, the first three, may share one.
     /// One zone may be lost as a whole. Empty: no zone is lost.
     pub zones: &'static [usize],
+    /// Bytes that each machine's link carries in a millisecond; none if links are never the limit.
+    pub link_bytes_per_ms: Option<u64>,
     /// A bug that is injected into all nodes, to show that it is found.
     pub injected_bug: Option<InjectedBug>,
     /// A second bug, to show that one guard covers another.
--- a/crates/lockusher-control-simulation/src/processes.rs
+++ b/crates/lockusher-control-simulation/src/processes.rs
@@ -13,6 +13,8 @@
     violation::ModelViolation,
 };
 
+/// Throughput between machines that the replicas count on, in bytes per millisecond.
+const BYTES_PER_MS: u64 = 4096;
 /// Interval of [`Event::Tick`].
 const TICK_MS: Millis = 50;
 /// Seeds that each process is given.
@@ -79,6 +81,10 @@
             },
             tolerated_domains,
             acknowledge_ms: ACKNOWLEDGE_MS,
+            bytes_per_ms: self
+                .options
+                .link_bytes_per_ms
+                .map_or(BYTES_PER_MS, |link| link / 2),
             catch_up_ms: CATCH_UP_MS,
             random_seed,
         };
--- a/crates/lockusher-control-simulation/tests/scenarios.rs
+++ b/crates/lockusher-control-simulation/tests/scenarios.rs
@@ -532,3 +532,42 @@
         );
     }
 }
+
+fn views_of(cluster: &Cluster) -> u64 {
+    let replica = cluster.replica(0).expect("it runs");
+    replica.counters().views_adopted
+}
+
+/// Bytes that a link of 10 Mbit/s carries in a millisecond.
+const THIN_LINK_BYTES_PER_MS: u64 = 1250;
+
+/// A large configuration reaches all control nodes over thin links, and a machine that joins, in hardly more time than copies
+/// of it take: one to the head and two down the chain, one to the newcomer. No view changes meanwhile.
+#[parameterized(
+    small = { 100_000 },
+    medium = { 1_000_000 },
+    large = { 4_000_000 },
+    largest = { 8_000_000 },
+)]
+fn a_large_configuration_gets_through_thin_links(bytes: usize) {
+    let one_link = bytes as u64 / THIN_LINK_BYTES_PER_MS;
+    let mut cluster = started_cluster(SimulationOptions {
+        replicas: 3,
+        seed: 1,
+        link_bytes_per_ms: Some(THIN_LINK_BYTES_PER_MS),
+        ..SimulationOptions::default()
+    });
+    let epochs_before = views_of(&cluster);
+    let caller = cluster.chain()[1];
+    let limit = 3 * one_link + 100;
+    let acknowledged = cluster.write_document(caller, 1, bytes, limit);
+    let epochs = views_of(&cluster) - epochs_before;
+    let newcomer = cluster.add(1);
+    let joined = cluster.run_until(one_link + 700, |cluster| cluster.is_member(newcomer));
+    println!(
+        "{bytes} bytes: {one_link} ms over one link, acknowledged after {acknowledged:?} ms, joined after {joined:?} ms"
+    );
+    assert!(acknowledged.is_some(), "{}", cluster.describe());
+    assert!(joined.is_some(), "{}", cluster.describe());
+    assert_eq!(epochs, 0);
+}
--- a/crates/lockusher-control/src/driver/peer_links.rs
+++ b/crates/lockusher-control/src/driver/peer_links.rs
@@ -1,8 +1,9 @@
-//! Outgoing links to other control nodes: one connection for each peer, made again when it ends.
+//! Outgoing links to other control nodes: for each peer one connection for short messages and, once there are such, one for
+//! long ones, each made again when it ends.
 //!
 //! Owned by the [`ReplicaDriver`](super::replica_driver::ReplicaDriver), which sends the replica's messages on them.
 //! Messages may be lost: the replica's protocol repeats what matters. Invariant: a peer that can't be reached costs a
-//! bounded queue, and what waited for it isn't sent once it is back.
+//! bounded queue, and what waited for it isn't sent once it is back; and a long message on a thin link holds up no heartbeat.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -15,7 +16,7 @@
 use compio::time::{sleep, timeout};
 use futures_channel::mpsc;
 use futures_util::StreamExt;
-use lockusher_transport::error::{Operation, TransportError};
+use lockusher_transport::error::TransportError;
 use lockusher_transport::{frame, tcp};
 
 use super::send_queue::SendQueue;
@@ -32,6 +33,28 @@
 /// A link that had nothing to send for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A longer frame goes on the connection for long messages.
+const MAX_SHORT_FRAME_BYTES: usize = 32 * 1024;
+
+/// Which connection to a peer a message takes. Messages of different lanes may pass each other, as the replica allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Lane {
+    /// Heartbeats, votes and short entries.
+    Short,
+    /// Configurations and states that take a while on a thin link.
+    Long,
+}
+
+impl Lane {
+    fn of(frame: &[u8]) -> Self {
+        if frame.len() > MAX_SHORT_FRAME_BYTES {
+            Lane::Long
+        } else {
+            Lane::Short
+        }
+    }
+}
+
 /// What a control node sends to another on a connection.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct PeerFrame {
@@ -65,7 +88,7 @@
 pub struct PeerLinks {
     own_address: SocketAddrV4,
     timing: LinkTiming,
-    links: RefCell<HashMap<SocketAddrV4, Link>>,
+    links: RefCell<HashMap<(SocketAddrV4, Lane), Link>>,
 }
 
 /// The sending side of a link. Its task ends after a while without messages.
@@ -93,7 +116,7 @@
         });
         let mut links = self.links.borrow_mut();
         let link = links
-            .entry(to)
+            .entry((to, Lane::of(&frame)))
             .or_insert_with(|| Link::open(to, self.timing, SendQueue::default()));
         link.queue.borrow_mut().push(frame);
         if !link.wake() {
@@ -163,11 +186,7 @@
         loop {
             let next = self.queue.borrow_mut().pop();
             if let Some(frame) = next {
-                let write = timeout(WRITE_TIMEOUT, writer.write_encoded(&frame)).await;
-                write.map_err(|_| TransportError::TimedOut {
-                    operation: Operation::Write,
-                    address: None,
-                })??;
+                writer.write_within(&frame, WRITE_TIMEOUT).await?;
                 continue;
             }
             match timeout(IDLE_TIMEOUT, self.wake_ups.next()).await {
--- a/crates/lockusher-control/src/replica/forwarding.rs
+++ b/crates/lockusher-control/src/replica/forwarding.rs
@@ -5,6 +5,7 @@
 use super::state_machine::Replica;
 use crate::message::MessageBody;
 use crate::request::{Reply, Request, RequestTicket};
+use crate::time::Millis;
 
 impl Replica {
     /// The driver hands over a request of the operator.
@@ -18,7 +19,8 @@
         }
         let number = self.requests.next_number;
         self.requests.next_number += 1;
-        let deadline = self.now + self.timing.request_timeout;
+        let allowance = self.request_allowance(&request);
+        let deadline = self.now + self.timing.request_timeout + allowance;
         let (received_at, forward_at) = (self.now, self.now);
         self.requests.pending.insert(
             number,
@@ -28,11 +30,24 @@
                 deadline,
                 forward_at,
                 received_at,
+                resend_allowance: allowance,
             },
         );
         self.forward_requests();
     }
 
+    /// Time beyond the usual until a request can be decided, in milliseconds: its configuration goes to the head and down the
+    /// chain.
+    pub(super) fn request_allowance(&self, request: &Request) -> Millis {
+        match request {
+            Request::Put { document, .. } => {
+                let links = self.view.as_ref().map_or(1, |view| view.chain.len() + 1);
+                self.size_allowance(document.body.len()) * links as Millis
+            }
+            Request::Base { .. } | Request::Read => 0,
+        }
+    }
+
     /// Sends the waiting requests to the head, each at intervals.
     pub(super) fn forward_requests(&mut self) {
         let Some(view) = &self.view else { return };
@@ -43,7 +58,8 @@
         let mut due = Vec::new();
         for (number, pending) in &mut self.requests.pending {
             if self.now >= pending.forward_at {
-                pending.forward_at = self.now + interval.max(self.now - pending.received_at);
+                let backed_off = interval.max(self.now - pending.received_at);
+                pending.forward_at = self.now + backed_off + pending.resend_allowance;
                 due.push((*number, pending.request.clone()));
             }
         }
--- a/crates/lockusher-control/src/replica/head.rs
+++ b/crates/lockusher-control/src/replica/head.rs
@@ -12,9 +12,6 @@
 use crate::time::Millis;
 use crate::view::Identity;
 
-/// Least throughput, in bytes per millisecond, of a disk or link that is given extra time for a large configuration.
-pub(super) const BYTES_PER_MS: Millis = 4096;
-
 /// What a head tracks beside its durable state.
 #[derive(Debug)]
 pub(super) struct Head {
@@ -60,11 +57,6 @@
 }
 
 impl InFlight {
-    /// Time beyond the usual that a large configuration may take at each replica, in milliseconds.
-    pub(super) fn size_allowance(&self) -> Millis {
-        self.document.body.len() as Millis / BYTES_PER_MS
-    }
-
     /// The message that carries the entry.
     pub(super) fn append(&self, relay: bool) -> MessageBody {
         MessageBody::Append {
--- a/crates/lockusher-control/src/replica/progress.rs
+++ b/crates/lockusher-control/src/replica/progress.rs
@@ -72,11 +72,14 @@
             return false;
         }
         let unsynchronised = !head.synchronised.contains(&member);
-        if unsynchronised && self.now - head.activated_at >= self.timing.write_timeout {
+        let synchronise_limit = self.timing.write_timeout + self.state_allowance();
+        if unsynchronised && self.now - head.activated_at >= synchronise_limit {
             return true;
         }
+        let links = view.chain.iter().position(|other| *other == member);
+        let allowance = self.entry_allowance(links.unwrap_or(0));
         head.in_flight.as_ref().is_some_and(|in_flight| {
-            let limit = self.timing.write_timeout + in_flight.size_allowance();
+            let limit = self.timing.write_timeout + allowance;
             !in_flight.stored_by.contains(&member) && self.now - in_flight.started_at >= limit
         })
     }
--- a/crates/lockusher-control/src/replica/proposing.rs
+++ b/crates/lockusher-control/src/replica/proposing.rs
@@ -181,12 +181,17 @@
         let Some(proposal) = &self.proposal else {
             return;
         };
+        let allowance = match proposal.phase {
+            Phase::Joining => self.state_allowance() * proposal.change.joiners.len() as u64,
+            Phase::Sealing | Phase::Preparing | Phase::Accepting => 0,
+        };
         let phase_timeout = self.timing.agreement_phase_timeout
-            * self.proposal_attempts.clamp(1, MAX_PHASE_TIMEOUT_FACTOR);
+            * self.proposal_attempts.clamp(1, MAX_PHASE_TIMEOUT_FACTOR)
+            + allowance;
         if self.now - proposal.phase_started_at >= phase_timeout {
             self.record_failed_joins();
             self.abandon_proposal();
-        } else if self.now - proposal.last_sent_at >= self.timing.retransmit_interval {
+        } else if self.now - proposal.last_sent_at >= self.timing.retransmit_interval + allowance {
             self.send_phase_messages();
         }
     }
--- a/crates/lockusher-control/src/replica/replication.rs
+++ b/crates/lockusher-control/src/replica/replication.rs
@@ -17,6 +17,7 @@
 use crate::message::TransferPurpose;
 use crate::position::Position;
 use crate::request::Reply;
+use crate::time::Millis;
 use crate::view::Identity;
 
 impl Replica {
@@ -51,17 +52,39 @@
         Some(self.head.as_ref()?.in_flight.as_ref()?.origin)
     }
 
+    /// Time beyond the usual that the entry in flight may take over so many links of the chain, in milliseconds.
+    pub(super) fn entry_allowance(&self, links: usize) -> Millis {
+        let in_flight = self.head.as_ref().and_then(|head| head.in_flight.as_ref());
+        let bytes = in_flight.map_or(0, |in_flight| in_flight.document.body.len());
+        self.size_allowance(bytes) * links as Millis
+    }
+
+    /// Time beyond the usual that this node's state may take to another node, in milliseconds.
+    pub(super) fn state_allowance(&self) -> Millis {
+        let document = self.durable_state.state.document();
+        self.size_allowance(document.map_or(0, |document| document.body.len()))
+    }
+
+    /// Time that so many bytes take over one link, in milliseconds.
+    pub(super) fn size_allowance(&self, bytes: usize) -> Millis {
+        bytes as Millis / self.setup.bytes_per_ms.max(1)
+    }
+
+    fn chain_length(&self) -> usize {
+        self.view.as_ref().map_or(0, |view| view.chain.len())
+    }
+
     /// The head's own disk has stored the entry: it goes down the chain.
     pub(super) fn send_to_successor(&mut self) {
         let me = self.identity;
         let successor = self.view.as_ref().and_then(|view| view.successor_of(me));
+        let allowance = self.entry_allowance(self.chain_length());
         let Some(in_flight) = self.head.as_mut().and_then(|head| head.in_flight.as_mut()) else {
             return;
         };
         in_flight.stored_by.insert(me);
         in_flight.started_at = self.now;
-        in_flight.resend_at =
-            self.now + self.timing.retransmit_interval + in_flight.size_allowance();
+        in_flight.resend_at = self.now + self.timing.retransmit_interval + allowance;
         let body = in_flight.append(true);
         let open = !self.acceptor.sealed || bug_injected!(self.bug_injection, ServeAfterSeal);
         if let (Some(successor), true) = (successor, open) {
@@ -103,6 +126,7 @@
 
     /// Sends the entry in flight directly to members that aren't known to have stored it.
     pub(super) fn send_missing_entries(&mut self) {
+        let allowance = self.entry_allowance(self.chain_length());
         let (Some(head), Some(view)) = (&mut self.head, &self.view) else {
             return;
         };
@@ -115,7 +139,7 @@
         }
         let waited = self.now - in_flight.started_at;
         let resend_delay = waited.clamp(self.timing.retransmit_interval, self.timing.write_timeout);
-        in_flight.resend_at = self.now + resend_delay;
+        in_flight.resend_at = self.now + resend_delay + allowance;
         let body = in_flight.append(false);
         let missing = view
             .chain
--- a/crates/lockusher-control/src/replica/request_queue.rs
+++ b/crates/lockusher-control/src/replica/request_queue.rs
@@ -41,6 +41,8 @@
     /// When it is forwarded to the head again; the delays double.
     pub(super) forward_at: Millis,
     pub(super) received_at: Millis,
+    /// Time that a copy of it may take beyond the usual, before another is sent.
+    pub(super) resend_allowance: Millis,
 }
 
 /// Who asked: the node that a request came to, and its number there.
--- a/crates/lockusher-control/src/replica/service.rs
+++ b/crates/lockusher-control/src/replica/service.rs
@@ -65,7 +65,7 @@
         };
         let in_flight = self.write_in_flight() == Some(origin);
         let confirmation = self.next_confirmation();
-        let deadline = self.now + self.timing.request_timeout;
+        let deadline = self.now + self.timing.request_timeout + self.request_allowance(&body);
         let Some(head) = &mut self.head else { return };
         let known = in_flight || head.queue.iter().any(|queued| queued.origin == origin);
         if known || head.queue.len() >= MAX_REQUESTS {
--- a/crates/lockusher-control/src/replica/setup.rs
+++ b/crates/lockusher-control/src/replica/setup.rs
@@ -23,6 +23,8 @@
     pub acknowledge_ms: u64,
     /// Within how long a new node must be a full member, in milliseconds.
     pub catch_up_ms: u64,
+    /// Throughput to another node that is counted on, in bytes per millisecond: longer messages are given more time.
+    pub bytes_per_ms: u64,
     /// Seed of the identity (on an empty disk), of the request numbers and of the back-off.
     pub random_seed: u64,
 }
--- a/crates/lockusher-control/src/replica/synchronisation.rs
+++ b/crates/lockusher-control/src/replica/synchronisation.rs
@@ -137,8 +137,10 @@
 
     /// Retransmits, as head, what isn't answered.
     pub(super) fn on_head_tick(&mut self) {
+        let allowance = self.state_allowance();
         let Some(head) = &mut self.head else { return };
-        if self.now - head.last_resend_at < self.timing.retransmit_interval {
+        let allowance = if head.established { 0 } else { allowance };
+        if self.now - head.last_resend_at < self.timing.retransmit_interval + allowance {
             return;
         }
         head.last_resend_at = self.now;
--- a/crates/lockusher-control/src/serve.rs
+++ b/crates/lockusher-control/src/serve.rs
@@ -39,6 +39,10 @@
 const HAND_OVER_GRACE_DIVISOR: u32 = 2;
 /// Between two scrubs of the disk.
 const SCRUB_INTERVAL: Duration = Duration::from_secs(600);
+/// Bytes that a link of 1 Mbit/s carries in a millisecond.
+const BYTES_PER_MS_OF_MBPS: f64 = 125.0;
+/// Throughput that is counted on at most, in bytes per millisecond: that of a slow disk.
+const MAX_BYTES_PER_MS: u64 = 4096;
 /// Bytes of a megabyte of `limits.diskMb`.
 const BYTES_PER_MB: u64 = 1024 * 1024;
 
@@ -221,11 +225,19 @@
             regions: settings.fault_tolerance.regions as usize,
         },
         acknowledge_ms: settings.bounds.acknowledge_ms,
+        bytes_per_ms: bytes_per_ms(settings.limits.link_mbps),
         catch_up_ms: settings.bounds.catch_up_ms,
         random_seed,
     }
 }
 
+/// The throughput to another node that is counted on: half of the machine's link, since others share it, and no more than a
+/// disk writes.
+fn bytes_per_ms(link_mbps: f64) -> u64 {
+    let half_of_link = (link_mbps * BYTES_PER_MS_OF_MBPS / 2.0) as u64;
+    half_of_link.clamp(1, MAX_BYTES_PER_MS)
+}
+
 /// Starts the tasks that serve the replica's disk, clock, peers, subscribers and operator; they end when dropped.
 fn spawn_tasks(
     driver: &Rc<ReplicaDriver>,
--- a/crates/lockusher-control/tests/peer_links.rs
+++ b/crates/lockusher-control/tests/peer_links.rs
@@ -2,8 +2,15 @@
 
 use std::time::Duration;
 
-use lockusher_control::driver::peer_links::LinkTiming;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use compio::net::TcpListener;
+use lockusher_control::driver::peer_links::{LinkTiming, PeerFrame, PeerLinks};
 use lockusher_control::driver::send_queue::{MAX_QUEUED_BYTES, SendQueue};
+use lockusher_control::message::MessageBody;
+use lockusher_control::{ConfigurationDocument, Envelope, Identity, Message, Request};
+use lockusher_transport::frame;
 use yare::parameterized;
 
 /// Heartbeats go every twentieth of `acknowledgeMs`; a node is suspected after a fifth of it.
@@ -60,3 +67,47 @@
     assert_eq!(queue.pop(), Some(vec![2; MAX_QUEUED_BYTES + 1]));
     assert_eq!(queue.pop(), None);
 }
+
+fn envelope(body: MessageBody) -> Envelope {
+    Envelope::new(Message {
+        sender: Identity(7),
+        epoch: 1,
+        body,
+    })
+}
+
+/// A configuration of this size on its way to the head.
+fn long_message(bytes: usize) -> MessageBody {
+    let document = ConfigurationDocument::new(1, Arc::from(vec![b' '; bytes]));
+    MessageBody::Forward {
+        request: 1,
+        body: Request::Put {
+            if_match: 0,
+            document,
+        },
+    }
+}
+
+/// The peer takes nothing on the connection of the long message, as a thin link does for seconds.
+#[test]
+fn a_long_message_holds_up_no_short_one() {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listens");
+        let address = listener.local_addr().expect("an address").to_string();
+        let address: SocketAddrV4 = address.parse().expect("an IPv4 address");
+        let timing = LinkTiming::new(Duration::from_secs(60));
+        let links = PeerLinks::new(address, timing);
+
+        links.send(address, &envelope(long_message(12_000_000)));
+        let (_long, _) = listener.accept().await.expect("the long connection");
+        let short = MessageBody::AppendStored { index: 3 };
+        links.send(address, &envelope(short.clone()));
+
+        let (stream, _) = listener.accept().await.expect("the short connection");
+        let (mut reader, _writer) = frame::split::<PeerFrame, ()>(stream).expect("splits");
+        let received = reader.read().await.expect("a frame");
+        let received = Envelope::decode(&received.envelope).expect("an envelope");
+        assert_eq!(received.message.body, short);
+    });
+}
--- a/crates/lockusher-control/tests/support/mod.rs
+++ b/crates/lockusher-control/tests/support/mod.rs
@@ -29,6 +29,7 @@
         locality: Locality::default(),
         tolerated_domains: ToleratedDomains::default(),
         acknowledge_ms: 4000,
+        bytes_per_ms: 4096,
         catch_up_ms: 4000,
         random_seed: u64::from(host),
     }
--- a/crates/lockusher-distribution/src/publisher.rs
+++ b/crates/lockusher-distribution/src/publisher.rs
@@ -151,6 +151,13 @@
         }
     }
 
+    /// A subscriber has shown that it is there without a message: it has taken a long frame.
+    pub fn record_contact(&mut self, id: SubscriberId, now_ms: u64) {
+        if let Some(subscription) = self.subscriptions.get_mut(id) {
+            subscription.record_contact(now_ms);
+        }
+    }
+
     /// The next frame that is due to a subscriber; to be called until there is none.
     pub fn next_frame(&mut self, id: SubscriberId, now_ms: u64) -> Option<Frame> {
         let subscription = self.subscriptions.get_mut(id)?;
--- a/crates/lockusher-distribution/src/publisher/subscription.rs
+++ b/crates/lockusher-distribution/src/publisher/subscription.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// The subscriber is there.
+    pub fn record_contact(&mut self, now_ms: u64) {
+        self.last_contact_ms = now_ms;
+    }
+
     /// Who subscribes; absent before the first message.
     pub fn identity(&self) -> Option<&SubscriberIdentity> {
         self.identity.as_ref()
--- a/crates/lockusher-distribution/src/serve/connection.rs
+++ b/crates/lockusher-distribution/src/serve/connection.rs
@@ -11,10 +11,14 @@
 
 use crate::frame::Frame;
 use crate::message::{Envelope, FromSubscriber};
-use crate::publisher::SubscriberId;
+use crate::publisher::{SUBSCRIBER_INACTIVITY_TIMEOUT_MS, SubscriberId};
 use crate::serve::error::ServeError;
 use crate::serve::shared_publisher::SharedPublisher;
 
+/// A frame that is longer leaves this process only as the subscriber takes it: meanwhile that gets no heartbeat to answer,
+/// so that having taken the frame counts as a message.
+const MAX_BUFFERED_FRAME_BYTES: usize = 256 * 1024;
+
 /// A subscription with the publisher; ends when dropped.
 pub struct Connection {
     id: SubscriberId,
@@ -78,8 +82,12 @@
     }
 
     async fn send_due(&self, writer: &mut FrameWriter<Envelope>) -> Result<(), ServeError> {
+        let stall_timeout = Duration::from_millis(SUBSCRIBER_INACTIVITY_TIMEOUT_MS);
         while let Some(frame) = self.next_frame() {
-            writer.write_encoded(&frame).await?;
+            writer.write_within(&frame, stall_timeout).await?;
+            if frame.len() > MAX_BUFFERED_FRAME_BYTES {
+                self.shared.record_contact(self.id);
+            }
         }
         Ok(())
     }
--- a/crates/lockusher-distribution/src/serve/shared_publisher.rs
+++ b/crates/lockusher-distribution/src/serve/shared_publisher.rs
@@ -88,6 +88,12 @@
         self.subscriber_activity.notify();
     }
 
+    /// A subscriber has shown that it is there without a message.
+    pub(super) fn record_contact(&self, id: SubscriberId) {
+        let now_ms = self.now_ms();
+        self.publisher.borrow_mut().record_contact(id, now_ms);
+    }
+
     /// Takes a message of a subscriber.
     pub(super) fn receive(&self, id: SubscriberId, message: FromSubscriber) {
         self.publisher
--- a/crates/lockusher-distribution/src/subscribe/shared_subscriber.rs
+++ b/crates/lockusher-distribution/src/subscribe/shared_subscriber.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use lockusher_transport::clock::Clock;
+use lockusher_transport::error::TransportError;
 use lockusher_transport::frame::{self, FrameReader, FrameWriter};
 
 use crate::change_notifier::ChangeNotifier;
@@ -142,8 +143,10 @@
         writer: &mut FrameWriter<Envelope>,
     ) -> Result<(), SubscribeError> {
         let inactivity_timeout = Duration::from_millis(PUBLISHER_INACTIVITY_TIMEOUT_MS);
-        let received = compio::time::timeout(inactivity_timeout, reader.read()).await;
-        let envelope = received.map_err(|_| SubscribeError::InactivityTimeout)??;
+        let envelope = match reader.read_within(inactivity_timeout).await {
+            Err(TransportError::TimedOut { .. }) => return Err(SubscribeError::InactivityTimeout),
+            received => received?,
+        };
         let message: ToSubscriber = envelope.decode()?;
         if let ToSubscriber::ControlNodes(addresses) = &message {
             self.policy.borrow_mut().learn(addresses);
--- a/crates/lockusher-transport/src/frame.rs
+++ b/crates/lockusher-transport/src/frame.rs
@@ -7,9 +7,12 @@
 //!
 //! [`split`] turns a connection into a [`FrameReader`] and a [`FrameWriter`], which are used independently.
 //!
+//! A long message takes seconds on a thin link, so that its arrival, and not only its end, counts as a sign of life: see
+//! [`FrameReader::read_within`] and [`FrameWriter::write_within`].
+//!
 //! # Cancel safety
 //!
-//! - [`FrameReader::read`] can be dropped at any time, for example by a `select!`: what was read stays in the reader.
+//! - [`FrameReader::read`] and [`FrameReader::read_within`] can be dropped at any time, for example by a `select!`: what was read stays in the reader.
 //! - [`FrameWriter::write`] can't: a dropped write may have sent a part of its frame, and what is written after it isn't
 //!   readable. Close the connection then.
 
@@ -17,10 +20,12 @@
 use std::io;
 use std::marker::PhantomData;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use bitcode::{DecodeOwned, Encode};
 use compio::net::TcpStream;
 use compio::runtime::fd::PollFd;
+use compio::time::timeout;
 use socket2::Socket;
 
 use crate::error::{Operation, TransportError};
@@ -28,6 +33,9 @@
 /// The longest message that is accepted, in bytes; the prefix isn't counted.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// A message may take a millisecond more for each so many bytes (1 Mbit/s); a peer that sends it slower is given up.
+pub const MIN_BYTES_PER_MS: u64 = 125;
+
 /// Bytes of the length before each message.
 const LENGTH_PREFIX_BYTES: usize = 4;
 /// Bytes that are read at once.
@@ -35,6 +43,18 @@
 /// A read buffer larger than this is freed once it is empty, so that one long message doesn't hold memory for ever.
 const MAX_IDLE_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Within what time further bytes of a message must arrive that has been awaited for `elapsed`: within the inactivity timeout,
+/// and before all of it has taken longer than that and the time for its length at [`MIN_BYTES_PER_MS`].
+pub fn arrival_limit(
+    inactivity_timeout: Duration,
+    announced_bytes: u32,
+    elapsed: Duration,
+) -> Duration {
+    let allowance = Duration::from_millis(u64::from(announced_bytes) / MIN_BYTES_PER_MS);
+    let left = (inactivity_timeout + allowance).saturating_sub(elapsed);
+    left.min(inactivity_timeout)
+}
+
 /// Splits a connection into a reader of `In` and a writer of `Out`. The connection is closed once both are dropped.
 ///
 /// # Errors
@@ -86,6 +106,37 @@
         }
     }
 
+    /// The next message, as long as bytes keep arriving. Cancel safe, as [`read`](Self::read) is.
+    ///
+    /// # Errors
+    ///
+    /// As for [`read`](Self::read); and [`TransportError::TimedOut`] if nothing arrived for `inactivity_timeout`, or if a
+    /// message takes longer than that and the time for its length at [`MIN_BYTES_PER_MS`].
+    pub async fn read_within(&mut self, inactivity_timeout: Duration) -> Result<T, TransportError> {
+        let started = Instant::now();
+        loop {
+            if let Some(message) = self.take_message()? {
+                return Ok(message);
+            }
+            let next_bytes_within = arrival_limit(
+                inactivity_timeout,
+                self.announced_bytes(),
+                started.elapsed(),
+            );
+            let filled = timeout(next_bytes_within, self.fill()).await;
+            filled.map_err(|_| TransportError::TimedOut {
+                operation: Operation::Read,
+                address: None,
+            })??;
+        }
+    }
+
+    /// Length of the message that is arriving; 0 before its length has arrived.
+    fn announced_bytes(&self) -> u32 {
+        let prefix = self.buffer.first_chunk::<LENGTH_PREFIX_BYTES>();
+        prefix.map_or(0, |prefix| u32::from_le_bytes(*prefix))
+    }
+
     /// Decodes the next message if the buffer holds it completely.
     fn take_message(&mut self) -> Result<Option<T>, TransportError> {
         let Some(prefix) = self.buffer.first_chunk::<LENGTH_PREFIX_BYTES>() else {
@@ -159,16 +210,43 @@
     pub async fn write_encoded(&mut self, frame: &[u8]) -> Result<(), TransportError> {
         let mut rest = frame;
         while !rest.is_empty() {
-            let written = poll_fn(|context| self.socket.poll_write(context, rest))
-                .await
-                .map_err(TransportError::io(Operation::Write))?;
-            if written == 0 {
-                return Err(TransportError::Closed);
-            }
+            rest = &rest[self.write_some(rest).await?..];
+        }
+        Ok(())
+    }
+
+    /// The same, as long as the peer takes bytes. Not cancel safe.
+    ///
+    /// # Errors
+    ///
+    /// As for [`write`](Self::write); and [`TransportError::TimedOut`] if the peer took nothing for `stall_timeout`.
+    pub async fn write_within(
+        &mut self,
+        frame: &[u8],
+        stall_timeout: Duration,
+    ) -> Result<(), TransportError> {
+        let mut rest = frame;
+        while !rest.is_empty() {
+            let written = timeout(stall_timeout, self.write_some(rest)).await;
+            let written = written.map_err(|_| TransportError::TimedOut {
+                operation: Operation::Write,
+                address: None,
+            })??;
             rest = &rest[written..];
         }
         Ok(())
     }
+
+    /// Writes as many of these bytes as the kernel takes now, at least one; their number.
+    async fn write_some(&mut self, bytes: &[u8]) -> Result<usize, TransportError> {
+        let written = poll_fn(|context| self.socket.poll_write(context, bytes))
+            .await
+            .map_err(TransportError::io(Operation::Write))?;
+        match written {
+            0 => Err(TransportError::Closed),
+            written => Ok(written),
+        }
+    }
 }
 
 /// A message as a complete frame.
--- a/crates/lockusher-transport/tests/sockets.rs
+++ b/crates/lockusher-transport/tests/sockets.rs
@@ -8,7 +8,7 @@
 use futures_util::FutureExt;
 use hyper::{Request, StatusCode};
 use lockusher_transport::error::{Operation, TransportError};
-use lockusher_transport::frame::{self, MAX_FRAME_BYTES};
+use lockusher_transport::frame::{self, MAX_FRAME_BYTES, arrival_limit};
 use lockusher_transport::http;
 use lockusher_transport::tcp;
 use support::{TIME_LIMIT, UNUSED_ADDRESS, connected_pair, listener, run, serve};
@@ -91,6 +91,70 @@
     });
 }
 
+#[parameterized(
+    nothing_has_come = { 0, 0, 1_200 },
+    nothing_came_in_time = { 0, 1_200, 0 },
+    a_long_message_has_just_begun = { 8_000_000, 0, 1_200 },
+    a_long_message_takes_its_time = { 8_000_000, 6_400, 1_200 },
+    a_long_message_comes_too_slowly = { 8_000_000, 65_000, 200 },
+    a_short_message_is_late = { 1_250, 1_200, 10 },
+)]
+fn bytes_are_awaited_for_as_long_as_the_message_may_take(
+    announced_bytes: u32,
+    elapsed_ms: u64,
+    expected_ms: u64,
+) {
+    let inactivity_timeout = Duration::from_millis(1_200);
+    let elapsed = Duration::from_millis(elapsed_ms);
+    let limit = arrival_limit(inactivity_timeout, announced_bytes, elapsed);
+    assert_eq!(limit, Duration::from_millis(expected_ms));
+}
+
+#[test]
+fn a_peer_that_sends_nothing_is_given_up() {
+    run(async {
+        let (_client, server) = connected_pair().await;
+        let (mut reader, _writer) = frame::split::<Vec<u8>, ()>(server).expect("splits");
+        let error = reader.read_within(Duration::from_millis(5)).await;
+        assert!(matches!(error, Err(TransportError::TimedOut { .. })));
+    });
+}
+
+#[test]
+fn a_peer_that_takes_nothing_is_given_up() {
+    run(async {
+        let (client, _server) = connected_pair().await;
+        let (_reader, mut writer) = frame::split::<(), Vec<u8>>(client).expect("splits");
+        let frame = frame::encode(&vec![7u8; 1_000_000]);
+        let error = loop {
+            // The kernel's buffers take the first ones.
+            if let Err(error) = writer.write_within(&frame, Duration::from_millis(50)).await {
+                break error;
+            }
+        };
+        assert!(matches!(error, TransportError::TimedOut { .. }), "{error}");
+    });
+}
+
+#[test]
+fn a_long_message_is_written_and_read_under_limits() {
+    run(async {
+        let (client, server) = connected_pair().await;
+        let write = async {
+            let (_reader, mut writer) = frame::split::<(), Vec<u8>>(client).expect("splits");
+            let frame = frame::encode(&vec![7u8; 9_000_000]);
+            writer.write_within(&frame, TIME_LIMIT).await
+        };
+        let read = async {
+            let (mut reader, _writer) = frame::split::<Vec<u8>, ()>(server).expect("splits");
+            reader.read_within(TIME_LIMIT).await
+        };
+        let (written, message) = futures_util::join!(write, read);
+        written.expect("writes");
+        assert_eq!(message.expect("a message").len(), 9_000_000);
+    });
+}
+
 #[test]
 fn an_error_of_a_connection_names_operation_and_address() {
     run(async {
