--- a/crates/lockusher-proxy/tests/support/wire.rs
+++ b/crates/lockusher-proxy/tests/support/wire.rs
@@ -48,6 +48,12 @@
         result.expect("the peer reads");
     }
 
+    /// Writes bytes to a peer that may end the connection meanwhile; whether all were taken.
+    pub async fn try_write(&mut self, bytes: Vec<u8>) -> bool {
+        let BufResult(result, _) = step(self.stream.write_all(bytes)).await;
+        result.is_ok()
+    }
+
     /// A client's request with the fields that one needs, and those given.
     pub async fn ask(&mut self, path: &str, identifier: &str, fields: &str, body: &str) {
         let length = body.len();
@@ -137,6 +143,24 @@
         Some(self.message().await)
     }
 
+    /// Reads a request with a length, its body any bytes; its identifier, or `None` if it has none or ends early.
+    pub async fn next_identifier(&mut self) -> Option<String> {
+        while !self.unread.windows(4).any(|window| window == b"\r\n\r\n") {
+            if !matches!(self.read_more().await, Ok(true)) {
+                return None;
+            }
+        }
+        let head = self.head().await;
+        let length = head.field("content-length")?.parse().ok()?;
+        while self.unread.len() < length {
+            if !matches!(self.read_more().await, Ok(true)) {
+                return None;
+            }
+        }
+        self.unread.drain(..length);
+        head.field("request-identifier").map(str::to_owned)
+    }
+
     /// Reads one chunk; empty at the end of the body.
     pub async fn read_chunk(&mut self) -> String {
         let line = self.read_past("\r\n").await;
--- a/crates/lockusher-transport/src/http.rs
+++ b/crates/lockusher-transport/src/http.rs
@@ -5,6 +5,7 @@
 //! request; a server keeps connections open.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use compio::net::{TcpListener, TcpStream};
 use compio::time::timeout;
 use cyper_core::{CompioTimer, HyperStream};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -71,8 +72,8 @@
 ///
 /// # Errors
 ///
-/// [`TransportError::Http`] if the connection fails, [`TransportError::BodyTooLong`] if the response is too long or ends
-/// early, and [`TransportError::Io`] if the socket can't be registered with the runtime.
+/// [`TransportError::Http`] if the connection fails or the response ends early, [`TransportError::BodyTooLong`] if it is too
+/// long, and [`TransportError::Io`] if the socket can't be registered with the runtime.
 pub async fn exchange(
     stream: TcpStream,
     request: Request<FullBody>,
@@ -89,9 +90,7 @@
         .collect()
         .await;
     let body = body
-        .map_err(|_| TransportError::BodyTooLong {
-            max_bytes: MAX_RESPONSE_BYTES,
-        })?
+        .map_err(|error| body_error(error, MAX_RESPONSE_BYTES))?
         .to_bytes();
     drop(driver);
     Ok(Answer { status, body })
@@ -145,12 +144,23 @@
 ///
 /// # Errors
 ///
-/// [`TransportError::BodyTooLong`] if it is longer, or if the connection fails before its end.
+/// [`TransportError::BodyTooLong`] if it is longer; [`TransportError::Http`] or [`TransportError::Closed`] if the connection
+/// fails before its end.
 pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, TransportError> {
     let read = Limited::new(body, max_bytes).collect().await;
-    Ok(read
-        .map_err(|_| TransportError::BodyTooLong { max_bytes })?
-        .to_bytes())
+    let read = read.map_err(|error| body_error(error, max_bytes))?;
+    Ok(read.to_bytes())
+}
+
+/// Why a body with a limit can't be read.
+fn body_error(error: Box<dyn Error + Send + Sync>, max_bytes: usize) -> TransportError {
+    if error.is::<LengthLimitError>() {
+        return TransportError::BodyTooLong { max_bytes };
+    }
+    match error.downcast::<hyper::Error>() {
+        Ok(error) => TransportError::Http(*error),
+        Err(_) => TransportError::Closed,
+    }
 }
 
 /// A response with this status, content type and body.
--- a/crates/lockusher-transport/tests/sockets.rs
+++ b/crates/lockusher-transport/tests/sockets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::FutureExt;
+use futures_util::{FutureExt, StreamExt};
 use hyper::{Request, StatusCode};
 use lockusher_transport::error::{Operation, TransportError};
 use lockusher_transport::frame::{self, MAX_FRAME_BYTES, arrival_limit};
@@ -155,6 +155,29 @@
     });
 }
 
+#[test]
+fn a_body_that_is_broken_off_is_not_taken_for_one_that_is_too_long() {
+    run(async {
+        let (sender, mut results) = futures_channel::mpsc::unbounded();
+        let address = serve(move |request| {
+            let sender = sender.clone();
+            async move {
+                let read = http::read_body(request.into_body(), 100).await;
+                sender.unbounded_send(read).expect("the test listens");
+                http::answer(StatusCode::OK, "text/plain", "")
+            }
+        })
+        .await;
+        let client = tcp::connect(address, TIME_LIMIT).await.expect("connects");
+        let (reader, mut writer) = frame::split::<(), ()>(client).expect("splits");
+        let head_and_part = b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc";
+        writer.write_encoded(head_and_part).await.expect("writes");
+        drop((reader, writer));
+        let read = results.next().await.expect("a result");
+        assert!(matches!(read, Err(TransportError::Http(_))), "{read:?}");
+    });
+}
+
 #[test]
 fn an_error_of_a_connection_names_operation_and_address() {
     run(async {
