--- a/crates/lockusher-proxy/src/headers.rs
+++ b/crates/lockusher-proxy/src/headers.rs
@@ -55,6 +55,18 @@
     strip_hop_by_hop(headers);
 }
 
+/// Whether it is plain where the body of an answer ends: by one coding that is undone here, `chunked`, or by a length, not by
+/// both (RFC 9112, 6.1 and 6.3). Another coding would reach the client as if it were the body, and with a length beside it
+/// two readers may disagree on what belongs to the answer.
+pub(crate) fn has_plain_framing(answer: &HeaderMap) -> bool {
+    let mut codings = answer.get_all(header::TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else {
+        return true;
+    };
+    let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+    is_chunked && codings.next().is_none() && !answer.contains_key(header::CONTENT_LENGTH)
+}
+
 fn strip_hop_by_hop(headers: &mut HeaderMap) {
     for name in named_by_connection(headers) {
         headers.remove(name);
--- a/crates/lockusher-proxy/src/upstream/exchange.rs
+++ b/crates/lockusher-proxy/src/upstream/exchange.rs
@@ -187,6 +187,10 @@
         log::debug!("{}: the answer names another request", destination.address);
         return Err(SendFailure::Broken);
     }
+    if !headers::has_plain_framing(answer) {
+        log::debug!("{}: the answer's framing is ambiguous", destination.address);
+        return Err(SendFailure::Broken);
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Err(SendFailure::Misdirected);
     }
--- a/crates/lockusher-proxy/tests/crossings.rs
+++ b/crates/lockusher-proxy/tests/crossings.rs
@@ -25,6 +25,8 @@
     NoSignature,
     ShortAnswer,
     EndByClose,
+    UnknownCoding,
+    TwoFramings,
     NoHttp,
     UnavailableWithoutNotExecuted,
     NotExecutedOfAnother,
@@ -55,6 +57,15 @@
                 ))
                 .await;
             }
+            SearcherFault::UnknownCoding => {
+                let framing = "Server-Signature: s\r\nTransfer-Encoding: gzip\r\n";
+                wire.answer("200 OK", identifier, framing, "roster").await;
+            }
+            SearcherFault::TwoFramings => {
+                let framing = "Server-Signature: s\r\nTransfer-Encoding: chunked\r\n";
+                let body = "6\r\nroster\r\n0\r\n\r\n";
+                wire.answer("200 OK", identifier, framing, body).await;
+            }
             SearcherFault::NoHttp => wire.write("\x01\x02 what is this\r\n\r\n").await,
             SearcherFault::UnavailableWithoutNotExecuted => {
                 wire.answer("503 Service Unavailable", identifier, "", "")
@@ -76,6 +87,8 @@
     no_signature = { SearcherFault::NoSignature },
     short_answer = { SearcherFault::ShortAnswer },
     end_by_close = { SearcherFault::EndByClose },
+    unknown_coding = { SearcherFault::UnknownCoding },
+    two_framings = { SearcherFault::TwoFramings },
     no_http = { SearcherFault::NoHttp },
     unavailable_without_not_executed = { SearcherFault::UnavailableWithoutNotExecuted },
     not_executed_of_another = { SearcherFault::NotExecutedOfAnother },
--- a/crates/lockusher-proxy/tests/fuzzed_connections.rs
+++ b/crates/lockusher-proxy/tests/fuzzed_connections.rs
@@ -228,7 +228,8 @@
     }
 }
 
-/// Whether the first answer in these bytes says where its body ends. Of one that doesn't, all that follows is its body.
+/// Whether the first answer in these bytes says where its body ends. Of one that doesn't, as HTTP has it, all that follows up
+/// to the close is its body.
 fn is_framed(sent: &[u8]) -> bool {
     let text = String::from_utf8_lossy(sent).to_ascii_lowercase();
     let head = text.split("\r\n\r\n").next().unwrap_or_default();
