Logs say why service is away: publishers, quorum, disk, list, stages, unserved requests

Cause: at the default level nothing told the incident's hypotheses apart: an agent didn't say whom it asks nor how that ended, a proxy not why it isn't ready or rejects, a control node not that it has no majority, a head not why it orders no stage; lines of two processes couldn't be put in order, for none had a time of day. Change: the first line of a process has the time of day, process, seeds. A condition that lasts is reported once it has lasted, then every 2 s (RecurrenceLog): no publisher, with each address and how the attempt ended; no majority, with the voters missing; calls to the platform's list that go on failing; a stage without a ready searcher, with why no order is due. A proxy logs what it lacks to be ready, and each second the requests that it answered itself by reason and service, with the searchers it knows.

--- a/crates/lockusher-agent/src/forward.rs
+++ b/crates/lockusher-agent/src/forward.rs
@@ -48,6 +48,10 @@
         agent.publisher.read(Publisher::highest_applied_revision),
     );
     if let Some(list) = lists.take_update(now_ms) {
+        if agent.publisher.read(|publisher| publisher.list().is_none()) {
+            let (sequence, listed) = (list.revision.sequence, list.instances.len());
+            log::info!("first instance list, sequence {sequence}: {listed} searchers");
+        }
         agent
             .publisher
             .update(|publisher| publisher.publish_list(list.revision, list.instances));
--- a/crates/lockusher-control/src/driver/replica_driver.rs
+++ b/crates/lockusher-control/src/driver/replica_driver.rs
@@ -20,6 +20,7 @@
 
 use super::disk::{AppendOutcome, Disk, ScrubCounters};
 use super::peer_links::PeerLinks;
+use super::service_log::ServiceLog;
 use crate::chain_role::ChainRole;
 use crate::document::ConfigurationDocument;
 use crate::envelope::Envelope;
@@ -44,6 +45,7 @@
     role_changed: ChangeNotifier,
     /// Port at which control nodes serve subscribers.
     subscription_port: u16,
+    service_log: RefCell<ServiceLog>,
 }
 
 impl ReplicaDriver {
@@ -69,6 +71,7 @@
             reported_head_address: Cell::default(),
             role_changed: ChangeNotifier::default(),
             subscription_port,
+            service_log: RefCell::default(),
         })
     }
 
@@ -209,6 +212,13 @@
         });
     }
 
+    /// Logs why this node doesn't serve, if it doesn't.
+    pub fn log_service(&self) {
+        let contact = self.read(Replica::voter_contact);
+        let now = self.clock.millis();
+        self.service_log.borrow_mut().observe(now, contact);
+    }
+
     /// Has the disk read back and compared with the state in memory, unless it is busy.
     pub fn scrub(&self) {
         self.disk.scrub_if_idle();
--- a/crates/lockusher-control/src/driver/stage_assignment.rs
+++ b/crates/lockusher-control/src/driver/stage_assignment.rs
@@ -19,6 +19,7 @@
 use super::instance_list_publisher::InstanceListPublisher;
 use super::replica_driver::ReplicaDriver;
 use super::stage_change_order::{order_outcome, stage_change_request};
+use super::stage_log::StageLog;
 use crate::request::{Reply, Request};
 use crate::stage_assignment_lease::StageAssignmentLease;
 use crate::stage_scheduler::{Observation, OrderOutcome, StageChange, StageScheduler};
@@ -41,6 +42,7 @@
     let mut assignment = StageAssignment {
         lease: StageAssignmentLease::new(settings.bounds.lease_ms, started_at),
         scheduler: StageScheduler::new(settings.cloud_lag_ms),
+        log: StageLog::default(),
         driver,
         list_publisher,
         settings,
@@ -57,6 +59,7 @@
     settings: Rc<NodeSettings>,
     lease: StageAssignmentLease,
     scheduler: StageScheduler,
+    log: StageLog,
 }
 
 /// What entitles this node to send one order, as long as it is valid.
@@ -86,10 +89,13 @@
             if !self.driver.role().is_head {
                 self.scheduler = StageScheduler::new(self.settings.cloud_lag_ms);
                 self.list_publisher.clear_switching();
+                return;
             }
+            self.log_empty_stages();
             return;
         };
         let change = self.next_change();
+        self.log_empty_stages();
         self.publish_switching();
         let Some(change) = change else { return };
         sleep(LIST_PROPAGATION_DELAY).await;
@@ -103,6 +109,28 @@
         self.publish_switching();
     }
 
+    /// Logs services without a ready searcher in a stage. This node is head.
+    fn log_empty_stages(&mut self) {
+        let now = self.now();
+        let may_order = self.fencing_token().is_some();
+        let publisher = &self.driver.publisher;
+        let Some(configuration) = publisher.read(|publisher| publisher.configuration().cloned())
+        else {
+            return;
+        };
+        let Some(list) = publisher.read(|publisher| publisher.list().cloned()) else {
+            return;
+        };
+        let scheduler = &self.scheduler;
+        let why_no_order = |service: &str| match scheduler.why_no_change(service) {
+            _ if !may_order => "no order while the former head may still send one".to_owned(),
+            Some(reason) => format!("no order: {reason}"),
+            None => "a change is ordered".to_owned(),
+        };
+        self.log
+            .observe(now, &configuration, &list.instances, why_no_order);
+    }
+
     fn next_change(&mut self) -> Option<StageChange> {
         let now = self.now();
         let publisher = &self.driver.publisher;
--- a/crates/lockusher-control/src/replica/mod.rs
+++ b/crates/lockusher-control/src/replica/mod.rs
@@ -59,3 +59,4 @@
 pub use repair::DiskComparison;
 pub use setup::ReplicaSetup;
 pub use state_machine::Replica;
+pub use status::VoterContact;
--- a/crates/lockusher-control/src/replica/status.rs
+++ b/crates/lockusher-control/src/replica/status.rs
@@ -10,6 +10,21 @@
 use crate::state::HistoryDigest;
 use crate::view::{Identity, View};
 
+/// Which voters of the newest view a node is in contact with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VoterContact {
+    /// Epoch of the view; 0 if none is known.
+    pub epoch: u64,
+    /// Voters of the view.
+    pub voters: usize,
+    /// Voters without which nothing is decided.
+    pub majority: usize,
+    /// Voters that aren't heard from in both directions, this node excepted.
+    pub missing: Vec<SocketAddrV4>,
+    /// Whether this node votes.
+    pub is_voter: bool,
+}
+
 impl Replica {
     /// The newest view known.
     pub fn view(&self) -> Option<&View> {
@@ -40,6 +55,27 @@
         self.is_voter() && self.has_confirmed_quorum()
     }
 
+    /// Which voters this node is in contact with.
+    pub fn voter_contact(&self) -> VoterContact {
+        let voters = self.view.iter().flat_map(|view| &view.voters);
+        let is_missing = |address, identity| {
+            identity != self.identity
+                && !self
+                    .peers
+                    .is_confirmed(address, identity, &self.timing, self.now)
+        };
+        let missing = voters
+            .filter(|voter| is_missing(voter.address, voter.identity))
+            .map(|voter| voter.address);
+        VoterContact {
+            epoch: self.epoch(),
+            voters: self.view.as_ref().map_or(0, |view| view.voters.len()),
+            majority: self.view.as_ref().map_or(0, View::majority),
+            missing: missing.collect(),
+            is_voter: self.is_voter(),
+        }
+    }
+
     /// Whether a node that was told to stop may end without harm: it isn't in the chain, and it votes only where no more
     /// voters can be spared and no other node can take its place.
     pub fn has_handed_over(&self) -> bool {
--- a/crates/lockusher-control/src/serve.rs
+++ b/crates/lockusher-control/src/serve.rs
@@ -186,11 +186,18 @@
     for unreachable in settings.unreachable_tolerance() {
         log::warn!("settings: {unreachable}");
     }
+    let (records, cleared) = (recovered.records.len(), recovered.cleared);
+    let (replica, effects) = Replica::new(setup, recovered.records, clock.millis());
     log::info!(
-        "control node at {own_address}, {} records on disk",
-        recovered.records.len()
+        "control node {} at {own_address}: {records} records on disk, view {}, {}",
+        replica.identity(),
+        replica.voter_contact().epoch,
+        if cleared {
+            "disk cleared, begins as a new node"
+        } else {
+            "disk as it was left"
+        }
     );
-    let (replica, effects) = Replica::new(setup, recovered.records, clock.millis());
     let publisher = SharedPublisher::new(Publisher::new(random_seed), clock);
     let acknowledge = Duration::from_millis(settings.bounds.acknowledge_ms);
     let links = PeerLinks::new(own_address, LinkTiming::new(acknowledge));
@@ -280,6 +287,7 @@
         sleep(TICK_INTERVAL).await;
         driver.dispatch(Event::Tick);
         driver.refresh_status();
+        driver.log_service();
     }
 }
 
--- a/crates/lockusher-control/src/stage_scheduler.rs
+++ b/crates/lockusher-control/src/stage_scheduler.rs
@@ -15,6 +15,7 @@
 mod change_budget;
 mod demand;
 mod hysteresis;
+mod no_change;
 mod searcher_selection;
 mod service_state;
 mod stage_change;
@@ -29,6 +30,8 @@
 use crate::time::Millis;
 
 pub use self::demand::{Demand, StageCounts};
+pub use self::no_change::NoChange;
+pub use self::searcher_selection::is_ready;
 pub use self::stage_change::{OrderOutcome, StageChange};
 
 /// What the scheduler looks at.
@@ -92,10 +95,7 @@
                 .entry(service.name.clone())
                 .or_insert_with(new_state);
             state.observe_instances(now, &searchers);
-            let Some(load) = observation.representative_load(&service.name) else {
-                state.forget_load(now);
-                continue;
-            };
+            let load = observation.representative_load(&service.name);
             if let Some(change) = state.next_change(now, engine, load, &searchers) {
                 state.start_change(now, engine, self.list_lag_ms, &change);
                 return Some(change);
@@ -104,6 +104,11 @@
         None
     }
 
+    /// Why no change of a service was due when it was last looked at; none if one was, or before the first look.
+    pub fn why_no_change(&self, service: &str) -> Option<NoChange> {
+        self.services.get(service)?.why_no_change()
+    }
+
     /// Takes what became of the order for a change.
     pub fn order_completed(&mut self, now: Millis, change: &StageChange, outcome: OrderOutcome) {
         if let Some(state) = self.services.get_mut(&change.service) {
--- a/crates/lockusher-control/src/stage_scheduler/service_state.rs
+++ b/crates/lockusher-control/src/stage_scheduler/service_state.rs
@@ -13,6 +13,7 @@
 use super::change_budget::ChangeBudget;
 use super::demand::{Demand, StageCounts};
 use super::hysteresis::Hysteresis;
+use super::no_change::NoChange;
 use super::searcher_selection::{is_ready, select_searcher};
 use super::stage_change::{OrderOutcome, StageChange, opposite};
 use crate::time::Millis;
@@ -40,6 +41,7 @@
     budget: ChangeBudget,
     /// Searchers that aren't chosen until the time given, by identifier.
     excluded_until: BTreeMap<String, Millis>,
+    why_no_change: Option<NoChange>,
 }
 
 impl ServiceState {
@@ -50,6 +52,7 @@
             hysteresis: Hysteresis::default(),
             budget: ChangeBudget::full(now, searchers),
             excluded_until: BTreeMap::new(),
+            why_no_change: None,
         }
     }
 
@@ -72,34 +75,63 @@
         }
     }
 
-    /// The load isn't known: what was desired before doesn't count any more.
-    pub fn forget_load(&mut self, now: Millis) {
-        self.hysteresis.observe(now, None);
-    }
-
-    /// The change to make now, if one is due. It isn't in flight until [`ServiceState::start_change`].
+    /// The change to make now, if one is due; `load` is absent if it isn't known. The change isn't in flight until
+    /// [`ServiceState::start_change`].
     pub fn next_change(
         &mut self,
         now: Millis,
         engine: &Engine,
-        load: &ServiceLoad,
+        load: Option<&ServiceLoad>,
         searchers: &[&Instance],
     ) -> Option<StageChange> {
+        let change = self.decide(now, engine, load, searchers);
+        self.why_no_change = change.as_ref().err().copied();
+        change.ok()
+    }
+
+    /// Why the last look led to no change.
+    pub fn why_no_change(&self) -> Option<NoChange> {
+        self.why_no_change
+    }
+
+    fn decide(
+        &mut self,
+        now: Millis,
+        engine: &Engine,
+        load: Option<&ServiceLoad>,
+        searchers: &[&Instance],
+    ) -> Result<StageChange, NoChange> {
+        let Some(load) = load else {
+            // What was desired before doesn't count any more.
+            self.hysteresis.observe(now, None);
+            return Err(NoChange::NoLoad);
+        };
         let ready = StageCounts::by_stage(|stage| {
             searchers.iter().filter(|one| is_ready(one, stage)).count()
         });
         let demand = Demand::of(load, engine, ready.prefill);
         let stage_to_grow = demand.stage_to_grow(ready, self.with_changes_made(ready));
         self.hysteresis.observe(now, stage_to_grow);
-        let to = self.hysteresis.stage_due(now, !self.in_flight.is_empty())?;
-        if self.in_flight.len() >= max_in_flight(searchers.len()) || !self.budget.allows_change() {
-            return None;
+        if ready.prefill == 0 || ready.decode == 0 {
+            return Err(NoChange::EmptyStage);
+        }
+        if stage_to_grow.is_none() {
+            return Err(NoChange::NotWorthwhile);
+        }
+        let stage_due = self.hysteresis.stage_due(now, !self.in_flight.is_empty());
+        let to = stage_due.ok_or(NoChange::NotPersistent)?;
+        if self.in_flight.len() >= max_in_flight(searchers.len()) {
+            return Err(NoChange::ChangesInFlight);
+        }
+        if !self.budget.allows_change() {
+            return Err(NoChange::BudgetSpent);
         }
         let from = opposite(to);
         let is_excluded =
             |searcher: &Instance| self.excluded_until.contains_key(&searcher.identifier);
-        let searcher = select_searcher(searchers, from, is_excluded)?;
-        Some(StageChange {
+        let searcher =
+            select_searcher(searchers, from, is_excluded).ok_or(NoChange::NoCandidate)?;
+        Ok(StageChange {
             service: searcher.service.clone(),
             identifier: searcher.identifier.clone(),
             address: searcher.address.clone(),
--- /dev/null
+++ b/crates/lockusher-control/tests/service_log.rs
@@ -0,0 +1,56 @@
+//! What a control node says of why it doesn't serve.
+
+use std::net::SocketAddrV4;
+
+use lockusher_control::driver::service_log::NotServing;
+use lockusher_control::replica::VoterContact;
+
+fn address(host: u8) -> SocketAddrV4 {
+    format!("10.0.0.{host}:7661").parse().expect("an address")
+}
+
+/// Five voters, so many of which aren't reached.
+fn contact(missing: u8) -> VoterContact {
+    VoterContact {
+        epoch: 7,
+        voters: 5,
+        majority: 3,
+        missing: (1..=missing).map(address).collect(),
+        is_voter: true,
+    }
+}
+
+#[test]
+fn a_majority_is_enough() {
+    assert_eq!(NotServing::of(contact(0)), None);
+    assert_eq!(NotServing::of(contact(2)), None);
+}
+
+#[test]
+fn without_a_majority_the_missing_voters_are_named() {
+    let reason = NotServing::of(contact(3)).expect("it can't serve");
+
+    assert_eq!(
+        reason.to_string(),
+        "no majority in view 7: 2 of 5 voters reached, 3 needed; missing 10.0.0.1:7661 10.0.0.2:7661 10.0.0.3:7661"
+    );
+}
+
+#[test]
+fn a_node_without_a_view_and_one_that_does_not_vote_say_so() {
+    let new = VoterContact {
+        epoch: 0,
+        voters: 0,
+        majority: 0,
+        missing: Vec::new(),
+        is_voter: false,
+    };
+    let learner = VoterContact {
+        is_voter: false,
+        ..contact(0)
+    };
+
+    assert_eq!(NotServing::of(new), Some(NotServing::NoView));
+    let reason = NotServing::of(learner).expect("it can't serve");
+    assert_eq!(reason.to_string(), "not a voter of view 7");
+}
--- a/crates/lockusher-distribution/src/instance_list_client.rs
+++ b/crates/lockusher-distribution/src/instance_list_client.rs
@@ -9,6 +9,7 @@
 use lockusher_config::instances_reader::InstancePage;
 use lockusher_transport::clock::Clock;
 use lockusher_transport::http;
+use lockusher_transport::recurrence::Recurrence;
 
 use crate::instance_list_poller::{InstanceListPoll, InstanceListPoller, PollerStep};
 
@@ -57,6 +58,8 @@
     match answer {
         Ok(answer) if answer.status == StatusCode::OK => receive_body(poller, now_ms, &answer.body),
         Ok(answer) if is_passing(answer.status) => {
+            let status = format!("answered {}", answer.status);
+            log_failure(poller, now_ms, platform, &status);
             poller.back_off(now_ms);
             None
         }
@@ -67,12 +70,20 @@
         }
         Err(error) => {
             log::debug!("platform's list: {error}");
+            log_failure(poller, now_ms, platform, &error.to_string());
             poller.back_off(now_ms);
             None
         }
     }
 }
 
+/// Logs calls that go on failing.
+fn log_failure(poller: &mut InstanceListPoller, now_ms: u64, platform: SocketAddrV4, end: &str) {
+    if let Some(Recurrence { for_ms, count }) = poller.record_failure(now_ms) {
+        log::warn!("platform's list at {platform}: {count} calls failed in {for_ms} ms: {end}");
+    }
+}
+
 fn receive_body(
     poller: &mut InstanceListPoller,
     now_ms: u64,
--- a/crates/lockusher-distribution/src/instance_list_poller.rs
+++ b/crates/lockusher-distribution/src/instance_list_poller.rs
@@ -15,6 +15,7 @@
 
 use lockusher_config::instances::Instance;
 use lockusher_config::instances_reader::InstancePage;
+use lockusher_transport::recurrence::{Recurrence, RecurrenceLog};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -25,6 +26,11 @@
 /// A poll that would resume later than this after its start begins anew instead, in milliseconds.
 const MAX_POLL_DURATION_MS: u64 = 5_000;
 
+/// Calls fail for this long before it is reported, in milliseconds.
+const FAILURE_REPORT_DELAY_MS: u64 = 1_000;
+/// Time between two reports while calls fail, in milliseconds.
+const FAILURE_REPORT_INTERVAL_MS: u64 = 2_000;
+
 /// What a poller does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PollerStep {
@@ -67,6 +73,7 @@
     /// The list of the last poll.
     last: Option<Rc<Vec<Instance>>>,
     removals: RemovalConfirmation,
+    failure_log: RecurrenceLog,
     random: ChaCha8Rng,
 }
 
@@ -90,6 +97,7 @@
             failures: 0,
             last: None,
             removals: RemovalConfirmation::default(),
+            failure_log: RecurrenceLog::new(FAILURE_REPORT_DELAY_MS, FAILURE_REPORT_INTERVAL_MS),
             random: ChaCha8Rng::seed_from_u64(random_seed),
         }
     }
@@ -155,6 +163,7 @@
     pub fn receive_page(&mut self, now_ms: u64, page: InstancePage) -> Option<InstanceListPoll> {
         let assembly = self.assembly.as_mut()?;
         self.failures = 0;
+        self.failure_log.end(now_ms);
         if !assembly.add_page(page) {
             assembly.next_call_at_ms = now_ms + self.pacing.call_spacing_ms();
             return None;
@@ -178,6 +187,11 @@
         }
     }
 
+    /// Counts a failed call; returns for how long calls have failed, if that is to be reported now.
+    pub fn record_failure(&mut self, now_ms: u64) -> Option<Recurrence> {
+        self.failure_log.observe(now_ms)
+    }
+
     /// The platform doesn't know the page, or its answer can't be read: the poll begins anew after a back-off.
     pub fn restart(&mut self, now_ms: u64) {
         self.back_off(now_ms);
--- a/crates/lockusher-distribution/src/subscribe.rs
+++ b/crates/lockusher-distribution/src/subscribe.rs
@@ -3,6 +3,7 @@
 //! [`SharedSubscriber`] drives a [`Subscriber`](crate::subscriber::Subscriber); agents and control nodes use it as it
 //! is. A proxy uses [`Feed`], which turns its changes into a stream of updates.
 
+mod connection_log;
 mod error;
 mod feed;
 mod shared_subscriber;
--- a/crates/lockusher-distribution/src/subscribe/shared_subscriber.rs
+++ b/crates/lockusher-distribution/src/subscribe/shared_subscriber.rs
@@ -22,6 +22,7 @@
     Attempt, CONNECT_TIMEOUT_MS, ConnectionPolicy, OUT_OF_VIEW_TIMEOUT_MS,
     PUBLISHER_INACTIVITY_TIMEOUT_MS,
 };
+use crate::subscribe::connection_log::ConnectionLog;
 use crate::subscribe::error::SubscribeError;
 use crate::subscriber::Subscriber;
 
@@ -34,6 +35,7 @@
     policy: RefCell<P>,
     changed: ChangeNotifier,
     clock: Clock,
+    log: RefCell<ConnectionLog>,
 }
 
 impl<P: ConnectionPolicy + 'static> SharedSubscriber<P> {
@@ -44,6 +46,7 @@
             policy: RefCell::new(policy),
             changed: ChangeNotifier::default(),
             clock,
+            log: RefCell::default(),
         })
     }
 
@@ -84,16 +87,24 @@
         loop {
             let attempt = self.policy.borrow_mut().next_attempt(self.clock.millis());
             let Some(attempt) = attempt else {
+                self.log.borrow_mut().no_address(self.clock.millis());
                 compio::time::sleep(NO_ADDRESS_RETRY_INTERVAL).await;
                 continue;
             };
             let Err(error) = self.follow(attempt).await;
-            log::debug!("publisher {}: {error}", attempt.address);
+            self.log_end(attempt, &error);
             self.policy.borrow_mut().lost(self.clock.millis());
             self.changed.notify();
         }
     }
 
+    fn log_end(&self, attempt: Attempt, error: &SubscribeError) {
+        let version = self.subscriber.borrow().applied().configuration_version;
+        let now_ms = self.clock.millis();
+        let mut log = self.log.borrow_mut();
+        log.ended(now_ms, attempt.address, error, version);
+    }
+
     /// Connects to one publisher and applies what it sends until the connection ends.
     async fn follow(&self, attempt: Attempt) -> Result<Infallible, SubscribeError> {
         let (mut reader, mut writer) = self.connect(attempt).await?;
@@ -107,6 +118,7 @@
             if !is_established {
                 is_established = true;
                 self.policy.borrow_mut().established(now_ms);
+                self.log.borrow_mut().established(now_ms, attempt.address);
             }
             if self.subscriber.borrow().publisher_in_view() {
                 in_view_at_ms = now_ms;
--- a/crates/lockusher-node/src/logging.rs
+++ b/crates/lockusher-node/src/logging.rs
@@ -1,9 +1,11 @@
 //! Log lines on standard error: `SECONDS LEVEL ROLE NODE MESSAGE`, with the time since the start.
 //!
-//! Started once by the program, before its role runs.
+//! Started once by the program, before its role runs. The first line gives the time of day of the start, so that the
+//! lines of several processes can be put in order.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
+use lockusher_config::settings::NodeSettings;
 use log::{LevelFilter, Metadata, SetLoggerError};
 
 /// Of other packages than the project's, only lines up to this level are logged.
@@ -37,3 +39,16 @@
 fn is_logged(metadata: &Metadata<'_>) -> bool {
     metadata.target().starts_with(PROJECT) || metadata.level() <= LEVEL_OF_LIBRARIES
 }
+
+/// The first line of a process: when it was started, and with which settings it looks for the others.
+pub fn start_line(settings: &NodeSettings, now: SystemTime) -> String {
+    let seeds: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
+    format!(
+        "started at {}: process {}, release {}, first start {}, seeds {}",
+        humantime::format_rfc3339_millis(now),
+        std::process::id(),
+        env!("CARGO_PKG_VERSION"),
+        settings.first_start,
+        seeds.join(" ")
+    )
+}
--- a/crates/lockusher-node/src/program.rs
+++ b/crates/lockusher-node/src/program.rs
@@ -4,6 +4,7 @@
 
 use std::io::{self, Write};
 use std::process::ExitCode;
+use std::time::SystemTime;
 
 use derive_more::{Display, Error, From};
 use log::{LevelFilter, SetLoggerError};
@@ -112,6 +113,7 @@
     let settings_file = settings_file::settings_file()?;
     let settings = settings_file::load(&settings_file)?;
     logging::start(level, role.name, &settings.node)?;
+    log::info!("{}", logging::start_line(&settings, SystemTime::now()));
     let runtime = compio::runtime::Runtime::new()?;
     let context = RoleContext {
         settings,
--- a/crates/lockusher-proxy/src/attempts.rs
+++ b/crates/lockusher-proxy/src/attempts.rs
@@ -25,6 +25,7 @@
 use crate::proxy_state::{ProxyState, SendGuard};
 use crate::request::ClientRequest;
 use crate::timer::until;
+use crate::unserved::UnservedReason;
 use crate::upstream::exchange::{Destination, Exchange, SendFailure, exchange};
 
 /// What is reserved of the client's time for the answer's way back.
@@ -80,6 +81,8 @@
     priority: u8,
     /// The stream is resumed after this event.
     last_event: Option<HeaderValue>,
+    /// Why the last send came to nothing.
+    last_failure: Option<UnservedReason>,
 }
 
 impl RequestAttempts {
@@ -102,9 +105,15 @@
             prefill_calls: 0,
             priority: 0,
             last_event: None,
+            last_failure: None,
         }
     }
 
+    /// Why the last send came to nothing; none if there was no send.
+    pub(crate) fn last_failure(&self) -> Option<UnservedReason> {
+        self.last_failure
+    }
+
     pub(crate) fn shared(&self) -> &Rc<ProxyState> {
         &self.shared
     }
@@ -167,6 +176,7 @@
     /// [`NoAnswer`] if the request may not be sent again.
     pub(crate) fn record_failure(&mut self, failure: &SendFailure) -> Result<(), NoAnswer> {
         self.may_have_run |= !failure.proves_not_run();
+        self.last_failure = Some(failure.unserved_reason());
         if self.may_have_run && !self.policy.is_idempotent {
             return Err(NoAnswer::Failed);
         }
--- a/crates/lockusher-proxy/src/decision/request_router.rs
+++ b/crates/lockusher-proxy/src/decision/request_router.rs
@@ -25,6 +25,7 @@
 use super::split::{SplitCandidates, is_split_cheaper};
 use super::trace;
 use super::types::{MICROS_PER_MS, Micros, Purpose, SendOutcome};
+use crate::unserved::SearcherCounts;
 
 /// What a searcher was sent is taken to be there still for so many times the span in which a second reading is
 /// priced.
@@ -316,6 +317,12 @@
         (usual as u64).min(left / 3).max(MIN_RETRY_AFTER_MS)
     }
 
+    /// The searchers of a service, for the log; none if the service isn't known.
+    pub fn searcher_counts(&self, now: Micros, service: &str) -> Option<SearcherCounts> {
+        let index = self.by_name.get(service)?;
+        Some(self.services[*index].searcher_counts(now))
+    }
+
     /// The load that this proxy has put on each service with an inference engine since the last call; nothing if that
     /// was just before.
     pub fn take_loads(&mut self, now: Micros) -> Option<Vec<ServiceLoad>> {
--- a/crates/lockusher-proxy/src/decision/searcher.rs
+++ b/crates/lockusher-proxy/src/decision/searcher.rs
@@ -172,6 +172,16 @@
         }
     }
 
+    /// Whether it is in slow start.
+    pub fn is_warming_up(&self, now: Micros) -> bool {
+        now < self.slow_start_end
+    }
+
+    /// Whether its last sends failed.
+    pub fn is_failing(&self) -> bool {
+        self.consecutive_failures > 0
+    }
+
     /// Records a send.
     pub fn sent(&mut self, now: Micros, ticket: u64) {
         if self.in_flight == 0 {
--- a/crates/lockusher-proxy/src/decision/service.rs
+++ b/crates/lockusher-proxy/src/decision/service.rs
@@ -18,6 +18,7 @@
 use super::searcher::{PeerStatistics, Searcher};
 use super::service_time::ServiceTimeModel;
 use super::types::{Micros, Purpose, SearcherId, SendOutcome};
+use crate::unserved::SearcherCounts;
 
 /// The means of a stage's searchers are worked out anew after this time at the latest, if anything has changed.
 const MAX_PEER_STATISTICS_AGE: Micros = 20_000;
@@ -229,6 +230,27 @@
         }
     }
 
+    /// Counts the searchers by what they can be used for.
+    pub fn searcher_counts(&self, now: Micros) -> SearcherCounts {
+        let ready = || {
+            let groups = self.groups.iter();
+            groups
+                .flat_map(|group| &group.candidates)
+                .map(|id| self.searcher(*id))
+        };
+        let ready_of = |kind| self.group(kind).candidates.len();
+        SearcherCounts {
+            listed: self.by_identifier.len(),
+            plain: ready_of(GroupKind::Plain),
+            prefill: ready_of(GroupKind::Prefill),
+            decode: ready_of(GroupKind::Decode),
+            warming_up: ready()
+                .filter(|searcher| searcher.is_warming_up(now))
+                .count(),
+            failing: ready().filter(|searcher| searcher.is_failing()).count(),
+        }
+    }
+
     /// The group that serves a purpose.
     pub fn kind(&self, purpose: Purpose) -> GroupKind {
         match purpose {
--- a/crates/lockusher-proxy/src/forward.rs
+++ b/crates/lockusher-proxy/src/forward.rs
@@ -22,6 +22,7 @@
 use crate::relay::{Relay, is_event_stream, outcome_of};
 use crate::request::{ClientRequest, RequestError};
 use crate::timer::{DeadlineExceeded, until};
+use crate::unserved::UnservedReason;
 use crate::upstream::exchange::{Exchange, SendFailure};
 
 /// Answers up to this length are buffered completely before they are forwarded, so that a broken one is never begun.
@@ -30,6 +31,7 @@
 /// Forwards a client's request and answers it.
 pub(crate) async fn forward(shared: &Rc<ProxyState>, request: Request<Incoming>) -> Answer {
     let Some(routes) = shared.routes() else {
+        shared.record_unserved("", UnservedReason::NoConfiguration);
         return answer::closing(answer::refusal_without_estimate());
     };
     let limit = routes.configuration().limits.body_bytes;
@@ -39,9 +41,11 @@
     };
     // The configuration may have changed while the body came.
     let Some(routes) = shared.routes() else {
+        shared.record_unserved("", UnservedReason::NoConfiguration);
         return answer::refusal_without_estimate();
     };
     let Some(route) = routes.lookup(&request.host, request.path()) else {
+        shared.record_unserved("", UnservedReason::NoRoute);
         return answer::local(StatusCode::NOT_FOUND);
     };
     let timeout = Duration::from_millis(route.timeout_ms);
@@ -53,17 +57,14 @@
         .borrow_mut()
         .admit(shared.clock.micros(), &facts);
     match admission {
-        Admission::Refuse { retry_after_ms } => answer::refusal(retry_after_ms),
+        Admission::Refuse { retry_after_ms } => {
+            shared.record_unserved(service, UnservedReason::NotAdmitted);
+            answer::refusal(retry_after_ms)
+        }
         Admission::Go(plan) => {
             let policy = AttemptPolicy::new(route, handle_hold_ms(routes.configuration(), service));
-            answer_by_attempts(RequestAttempts::new(
-                shared.clone(),
-                request,
-                policy,
-                deadlines,
-                plan,
-            ))
-            .await
+            let attempts = RequestAttempts::new(shared.clone(), request, policy, deadlines, plan);
+            answer_by_attempts(service, attempts).await
         }
     }
 }
@@ -102,19 +103,23 @@
 }
 
 /// Attempts the request until there is an answer, or none can come any more.
-async fn answer_by_attempts(mut attempts: RequestAttempts) -> Answer {
+async fn answer_by_attempts(service: &str, mut attempts: RequestAttempts) -> Answer {
     // A searcher's own failure, retained in case no other searcher does better.
     let mut failure: Option<Answer> = None;
     loop {
         let accepted = match attempts.next_answer().await {
             Ok(accepted) => accepted,
-            Err(no_answer) => return failure.unwrap_or_else(|| answer_to_failure(no_answer)),
+            Err(no_answer) => {
+                return failure.unwrap_or_else(|| answer_to_failure(service, &attempts, no_answer));
+            }
         };
         if !is_buffered(&accepted.exchange.response) {
             return relay(attempts, accepted);
         }
         match buffer_answer(&mut attempts, accepted).await {
-            Err(no_answer) => return failure.unwrap_or_else(|| answer_to_failure(no_answer)),
+            Err(no_answer) => {
+                return failure.unwrap_or_else(|| answer_to_failure(service, &attempts, no_answer));
+            }
             Ok(None) => {}
             Ok(Some(answer))
                 if answer.status().is_server_error() && attempts.policy.is_idempotent =>
@@ -128,7 +133,14 @@
     }
 }
 
-fn answer_to_failure(no_answer: NoAnswer) -> Answer {
+fn answer_to_failure(service: &str, attempts: &RequestAttempts, no_answer: NoAnswer) -> Answer {
+    let reason = match no_answer {
+        NoAnswer::TimedOut => UnservedReason::TimedOut,
+        NoAnswer::NotRun { .. } | NoAnswer::Failed => attempts
+            .last_failure()
+            .unwrap_or(UnservedReason::NoSearcher),
+    };
+    attempts.shared().record_unserved(service, reason);
     match no_answer {
         NoAnswer::NotRun { retry_after_ms } => answer::refusal(retry_after_ms),
         NoAnswer::Failed => answer::local(StatusCode::BAD_GATEWAY),
--- a/crates/lockusher-proxy/src/lib.rs
+++ b/crates/lockusher-proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod decision;
 pub mod serve;
 pub mod traffic_split;
+pub mod unserved;
 
 mod answer;
 mod answer_check;
--- a/crates/lockusher-proxy/src/proxy_state.rs
+++ b/crates/lockusher-proxy/src/proxy_state.rs
@@ -16,6 +16,7 @@
 use crate::handle_reuse::HandleReuse;
 use crate::memory::BodyMemory;
 use crate::traffic_split::TrafficSplits;
+use crate::unserved::{UnservedReason, UnservedSummary};
 use crate::upstream::pool::Pool;
 
 /// Descriptors reserved for files outside the disk folder, listeners and the runtime.
@@ -41,6 +42,7 @@
     draining: Cell<bool>,
     requests_in_flight: Cell<u64>,
     requests_accepted: Cell<u64>,
+    unserved: RefCell<UnservedSummary>,
 }
 
 impl ProxyState {
@@ -70,6 +72,7 @@
             draining: Cell::new(false),
             requests_in_flight: Cell::new(0),
             requests_accepted: Cell::new(0),
+            unserved: RefCell::default(),
         })
     }
 
@@ -108,6 +111,36 @@
         !self.draining.get() && self.has_instances.get() && self.routes.borrow().is_some()
     }
 
+    /// What is missing before clients may be sent here; none if nothing is.
+    pub(crate) fn missing(&self) -> Option<&'static str> {
+        match (self.routes.borrow().is_some(), self.has_instances.get()) {
+            (true, true) => None,
+            (true, false) => Some("instance list"),
+            (false, true) => Some("configuration"),
+            (false, false) => Some("configuration and instance list"),
+        }
+    }
+
+    /// Records a request that is answered without a searcher's answer; `service` is empty if it isn't known.
+    pub(crate) fn record_unserved(&self, service: &str, reason: UnservedReason) {
+        let now_ms = self.clock.millis();
+        self.unserved.borrow_mut().record(now_ms, service, reason);
+    }
+
+    /// Logs why requests weren't served of late, if a line is due.
+    pub(crate) fn log_unserved(&self) {
+        let now = self.clock.micros();
+        let router = self.router.borrow();
+        let counts_of = |service: &str| router.searcher_counts(now, service);
+        let lines = self
+            .unserved
+            .borrow_mut()
+            .take_lines(self.clock.millis(), counts_of);
+        for line in lines {
+            log::warn!("{line}");
+        }
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.get()
     }
--- a/crates/lockusher-proxy/src/serve.rs
+++ b/crates/lockusher-proxy/src/serve.rs
@@ -8,6 +8,7 @@
 use lockusher_config::settings::NodeSettings;
 use lockusher_distribution::load::ServiceLoad;
 use lockusher_distribution::subscribe::FeedUpdate;
+use lockusher_transport::recurrence::{Recurrence, RecurrenceLog};
 
 use crate::client::listener::{accept_clients, listen, sweep};
 use crate::client::registry::ClientRegistry;
@@ -27,6 +28,13 @@
 /// How often a draining proxy looks whether all requests are answered.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often this proxy looks whether something is to be logged of its service.
+const SERVICE_LOG_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Not being ready is logged after this time, and so often, in milliseconds.
+const NOT_READY_LOG_DELAY_MS: u64 = 500;
+const NOT_READY_LOG_INTERVAL_MS: u64 = 2_000;
+
 /// Interval between two reports of this proxy's load.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -74,6 +82,7 @@
         compio::runtime::spawn(answer_readiness(shared.clone(), readiness)),
         compio::runtime::spawn(sweep(shared.clone(), clients.clone())),
         compio::runtime::spawn(report_loads(shared.clone(), report)),
+        compio::runtime::spawn(log_service(shared.clone())),
     ];
     stop.await;
     let grace = Duration::from_millis(settings.bounds.grace_ms);
@@ -109,6 +118,29 @@
     }
 }
 
+/// Logs while this proxy lacks what it needs to be ready, and why requests aren't served, for ever.
+async fn log_service(shared: Rc<ProxyState>) {
+    let mut not_ready = RecurrenceLog::new(NOT_READY_LOG_DELAY_MS, NOT_READY_LOG_INTERVAL_MS);
+    let mut has_been_ready = false;
+    loop {
+        compio::time::sleep(SERVICE_LOG_INTERVAL).await;
+        let now_ms = shared.clock.millis();
+        match shared.missing() {
+            Some(missing) => {
+                if let Some(Recurrence { for_ms, .. }) = not_ready.observe(now_ms) {
+                    log::warn!("not ready for {for_ms} ms: no {missing}");
+                }
+            }
+            None if !has_been_ready => {
+                has_been_ready = true;
+                log::info!("ready after {now_ms} ms");
+            }
+            None => {}
+        }
+        shared.log_unserved();
+    }
+}
+
 /// Waits until no request is in flight and none has come since the last look, at most until `last`.
 async fn drain_requests(shared: &ProxyState, last: Instant) {
     let mut accepted = shared.requests_accepted();
--- a/crates/lockusher-proxy/src/upstream/exchange.rs
+++ b/crates/lockusher-proxy/src/upstream/exchange.rs
@@ -20,6 +20,7 @@
 use crate::decision::SendOutcome;
 use crate::headers;
 use crate::proxy_state::ProxyState;
+use crate::unserved::UnservedReason;
 
 /// A rejection whose body is longer is not read for the sake of its connection.
 const MAX_REJECTION_BYTES: usize = 16 * 1_024;
@@ -60,6 +61,17 @@
         !matches!(self, SendFailure::Broken)
     }
 
+    /// Why a request isn't served if no other send succeeds.
+    pub(crate) fn unserved_reason(&self) -> UnservedReason {
+        match self {
+            SendFailure::AtLimit => UnservedReason::ConnectionLimit,
+            SendFailure::Unreachable => UnservedReason::Unreachable,
+            SendFailure::Rejected { .. } => UnservedReason::Rejected,
+            SendFailure::Misdirected => UnservedReason::Misdirected,
+            SendFailure::Broken => UnservedReason::Broken,
+        }
+    }
+
     /// The outcome that is reported to the request router.
     pub(crate) fn outcome(&self) -> SendOutcome {
         match self {
--- a/crates/lockusher-transport/src/lib.rs
+++ b/crates/lockusher-transport/src/lib.rs
@@ -9,10 +9,12 @@
 //! | [`frame`] | messages between the fleet's processes |
 //! | [`http`] | servers and clients of the fleet's own interfaces |
 //! | [`clock`] | the monotonic clock that drives the decision modules |
+//! | [`recurrence`] | how often a condition that lasts is logged |
 //! | [`error`] | what fails in all of these |
 
 pub mod clock;
 pub mod error;
 pub mod frame;
 pub mod http;
+pub mod recurrence;
 pub mod tcp;
