Logs: 404 by configuration is no fault; a service without searchers has no empty stage

Cause: the first plays with the new lines showed a warning a second for requests on dropped routes, which are answered 404 as they should be, and one for a service whose searchers aren't listed yet.

--- a/crates/lockusher-control/src/driver/stage_log.rs
+++ b/crates/lockusher-control/src/driver/stage_log.rs
@@ -57,7 +57,7 @@
             .empty_stages
             .entry(service.to_owned())
             .or_insert_with(|| RecurrenceLog::new(LOG_DELAY_MS, LOG_INTERVAL_MS));
-        let Some(stage) = empty_stage(ready) else {
+        let Some(stage) = empty_stage(ready).filter(|_| !searchers.is_empty()) else {
             log.end(now);
             return;
         };
--- a/crates/lockusher-proxy/src/forward.rs
+++ b/crates/lockusher-proxy/src/forward.rs
@@ -45,7 +45,6 @@
         return answer::refusal_without_estimate();
     };
     let Some(route) = routes.lookup(&request.host, request.path()) else {
-        shared.record_unserved("", UnservedReason::NoRoute);
         return answer::local(StatusCode::NOT_FOUND);
     };
     let timeout = Duration::from_millis(route.timeout_ms);
--- a/crates/lockusher-proxy/src/unserved.rs
+++ b/crates/lockusher-proxy/src/unserved.rs
@@ -17,9 +17,6 @@
     /// This proxy has no configuration yet.
     #[display("no-configuration")]
     NoConfiguration,
-    /// The configuration has no route for it.
-    #[display("no-route")]
-    NoRoute,
     /// Admission control rejected it: too many wait, or its time was over.
     #[display("not-admitted")]
     NotAdmitted,
