--- a/crates/lockusher-router-testbed/src/client.rs
+++ b/crates/lockusher-router-testbed/src/client.rs
@@ -62,6 +62,16 @@
         }
     }
 
+    /// A mixer to which a kept connection is open. It stays with its mixer until it is closed, whether or not that calls
+    /// itself ready.
+    pub fn kept_front(&mut self) -> Option<SocketAddr> {
+        let most = self.reuse_within?;
+        self.resting.retain(|_, (connection, since)| {
+            since.elapsed() <= most && !connection.peer_has_closed()
+        });
+        self.resting.keys().next().copied()
+    }
+
     /// Sends a request, due at `due`, with its retries. `front_of` gives the address for the try of a number.
     pub fn request(
         &mut self,
--- a/crates/lockusher-router-testbed/src/fleet/mod.rs
+++ b/crates/lockusher-router-testbed/src/fleet/mod.rs
@@ -5,13 +5,13 @@
 mod process;
 mod program;
 
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::path::PathBuf;
 
 use derive_more::{Display, Error, From};
 
-pub use plan::{FleetBounds, FleetPlan};
-pub use process::{NodeProcess, Role, Signal};
+pub use plan::{FleetBounds, FleetPlan, Seed, SeedChoice};
+pub use process::{NodeProcess, ProcessId, Role, Signal};
 pub use program::{ProgramError, program};
 
 use crate::entry::{MixerAddress, is_ready};
@@ -21,6 +21,8 @@
 
 /// Looks for readiness before a fleet counts as failed: at least half a minute.
 const READY_TRIES: u32 = 600;
+/// Edge machines that may be seeds: so many of the first ones are linked with all other machines.
+const SEED_EDGES: usize = 3;
 /// How long a look for readiness waits for its answer.
 const READY_WAIT: std::time::Duration = std::time::Duration::from_millis(500);
 
@@ -43,6 +45,8 @@
     program: PathBuf,
     processes: Vec<NodeProcess>,
     links: Vec<EdgeLink>,
+    /// From where machines look for the agents of seeds to where these are.
+    agent_links: Vec<Link>,
 }
 
 /// The link from an edge machine to a core machine.
@@ -55,7 +59,7 @@
 impl Fleet {
     /// Gives every machine its addresses; no process runs yet.
     pub fn lay_out(plan: &FleetPlan) -> Result<Fleet, FleetError> {
-        let program = program()?;
+        let program = plan.program.clone().map_or_else(program, Ok)?;
         let layout = Layout::new(plan)?;
         let folder = plan::new_folder()?;
         let mut fleet = Fleet {
@@ -65,6 +69,7 @@
             program,
             processes: Vec::new(),
             links: Vec::new(),
+            agent_links: Vec::new(),
         };
         fleet.lay_links()?;
         Ok(fleet)
@@ -96,6 +101,115 @@
             .collect()
     }
 
+    /// Where operators call: at core machines, and at edge machines, which redirect them.
+    pub fn operator_addresses(&self) -> Vec<SocketAddr> {
+        let edges = (0..self.layout.edges.len()).map(Seed::Edge);
+        let edges = edges.map(|seed| SocketAddr::V4(self.layout.operator_address(seed)));
+        self.control().into_iter().chain(edges).collect()
+    }
+
+    /// How many control nodes there are.
+    pub fn control_nodes(&self) -> usize {
+        self.layout.cores.len()
+    }
+
+    /// How many control nodes may be lost at once.
+    pub fn tolerated_losses(&self) -> usize {
+        self.layout.tolerated_losses()
+    }
+
+    /// The processes that run while nothing is disturbed.
+    pub fn all_processes(&self) -> Vec<ProcessId> {
+        let on =
+            |role, machines: usize| (0..machines).map(move |machine| ProcessId { role, machine });
+        let edges = self.layout.edges.len();
+        on(Role::Control, self.layout.cores.len())
+            .chain(on(Role::Agent, edges))
+            .chain(on(Role::Proxy, edges))
+            .collect()
+    }
+
+    /// Whether a process was started and hasn't ended.
+    pub fn is_running(&mut self, process: ProcessId) -> bool {
+        self.process(process.role, process.machine)
+            .is_some_and(|running| running.exit_code().is_none())
+    }
+
+    /// Starts a process if it isn't running.
+    pub fn start(&mut self, process: ProcessId, first_start: bool) -> Result<(), FleetError> {
+        if self.is_running(process) {
+            return Ok(());
+        }
+        let ProcessId { role, machine } = process;
+        match role {
+            Role::Control => self.start_control(machine, first_start),
+            Role::Agent => self.start_agent(machine, first_start),
+            Role::Proxy => self.start_proxy(machine, first_start),
+        }
+    }
+
+    /// Kills all processes at once and waits for their ends.
+    pub fn kill_all(&mut self) {
+        self.processes.iter_mut().for_each(NodeProcess::send_kill);
+        self.processes.iter_mut().for_each(NodeProcess::kill);
+        self.processes.clear();
+    }
+
+    /// Sends a signal to all processes.
+    pub fn signal_all(&self, signal: Signal) {
+        self.processes
+            .iter()
+            .for_each(|process| process.signal(signal));
+    }
+
+    /// Forgets the processes that have ended without being killed by the test, and returns them with their exit codes.
+    pub fn take_ended(&mut self) -> Vec<(ProcessId, i32)> {
+        let mut ended = Vec::new();
+        self.processes
+            .retain_mut(|process| match process.exit_code() {
+                Some(code) => {
+                    ended.push((process.id(), code));
+                    false
+                }
+                None => true,
+            });
+        ended
+    }
+
+    /// Listens where the agents serve their proxies, which must not run.
+    pub fn hold_agent_ports(&self) -> std::io::Result<Vec<TcpListener>> {
+        let edges = self.layout.edges.iter();
+        let port_of = |edge: &EdgeMachine| plan::subscriptions_port(edge.internal_ports);
+        edges
+            .map(|edge| TcpListener::bind((Ipv4Addr::LOCALHOST, port_of(edge))))
+            .collect()
+    }
+
+    /// Lets all settings files name other seeds; processes read them at their next start, or when they look again.
+    pub fn set_seeds(&mut self, seeds: Vec<Seed>) -> std::io::Result<()> {
+        self.layout.seeds = seeds;
+        for ProcessId { role, machine } in self.all_processes() {
+            let settings = self.settings(role, machine, false);
+            process::write_settings(&self.folder, role, machine, &settings)?;
+        }
+        Ok(())
+    }
+
+    /// Lets all settings files name seeds of a kind.
+    pub fn change_seeds(&mut self, choice: SeedChoice) -> std::io::Result<()> {
+        let cores = self.layout.cores.len();
+        let edges = self.layout.edges.len().min(SEED_EDGES);
+        let seeds = match choice {
+            SeedChoice::Cores => (0..cores.min(SEED_EDGES)).map(Seed::Core).collect(),
+            SeedChoice::Edges => (0..edges).map(Seed::Edge).collect(),
+            SeedChoice::Mixed => {
+                let edges = (0..edges.min(SEED_EDGES - 1)).map(Seed::Edge);
+                edges.chain([Seed::Core(cores - 1)]).collect()
+            }
+        };
+        self.set_seeds(seeds)
+    }
+
     /// The zones of the edge machines.
     pub fn zones(&self) -> &[String] {
         &self.layout.zones
@@ -121,19 +235,19 @@
 
     /// Starts the control node of a core machine; after the first start it finds its own disk.
     pub fn start_control(&mut self, core: usize, first_start: bool) -> Result<(), FleetError> {
-        let settings = self.layout.core_settings(core, &self.folder, first_start);
+        let settings = self.settings(Role::Control, core, first_start);
         self.start_process(Role::Control, core, &settings)
     }
 
     /// Starts the agent of an edge machine.
     pub fn start_agent(&mut self, edge: usize, first_start: bool) -> Result<(), FleetError> {
-        let settings = self.layout.edge_settings(edge, Role::Agent, first_start);
+        let settings = self.settings(Role::Agent, edge, first_start);
         self.start_process(Role::Agent, edge, &settings)
     }
 
     /// Starts the proxy of an edge machine.
     pub fn start_proxy(&mut self, edge: usize, first_start: bool) -> Result<(), FleetError> {
-        let settings = self.layout.edge_settings(edge, Role::Proxy, first_start);
+        let settings = self.settings(Role::Proxy, edge, first_start);
         self.start_process(Role::Proxy, edge, &settings)
     }
 
@@ -213,6 +327,15 @@
             .unwrap_or_else(|error| format!("{}: {error}", path.display()))
     }
 
+    fn settings(&self, role: Role, machine: usize, first_start: bool) -> String {
+        match role {
+            Role::Control => self
+                .layout
+                .core_settings(machine, &self.folder, first_start),
+            Role::Agent | Role::Proxy => self.layout.edge_settings(machine, role, first_start),
+        }
+    }
+
     fn process(&mut self, role: Role, machine: usize) -> Option<&mut NodeProcess> {
         self.processes
             .iter_mut()
@@ -238,6 +361,24 @@
                 self.links.push(EdgeLink { edge, core, link });
             }
         }
+        self.lay_agent_links()
+    }
+
+    /// Links every machine with the agents of the edge machines that may be seeds.
+    fn lay_agent_links(&mut self) -> std::io::Result<()> {
+        let edge_ports = self.layout.edges.iter().map(|edge| edge.internal_ports);
+        let ports: Vec<u16> = edge_ports
+            .chain([self.layout.core_ports])
+            .map(plan::agents_port)
+            .collect();
+        for seed in self.layout.edges.iter().take(SEED_EDGES) {
+            let agent = seed.agent_address();
+            for port in ports.iter().filter(|port| **port != agent.port()) {
+                let from = SocketAddr::V4(SocketAddrV4::new(seed.ip, *port));
+                self.agent_links
+                    .push(Link::start(from, SocketAddr::V4(agent))?);
+            }
+        }
         Ok(())
     }
 }
@@ -246,8 +387,8 @@
 fn link_between(edge: &EdgeMachine, core: &CoreMachine, layout: &Layout) -> std::io::Result<Link> {
     let address = |ip: Ipv4Addr, port| SocketAddr::V4(SocketAddrV4::new(ip, port));
     Link::start(
-        address(core.ip, edge.internal_ports.0),
-        address(core.ip, layout.core_ports.0),
+        address(core.ip, plan::subscriptions_port(edge.internal_ports)),
+        address(core.ip, plan::subscriptions_port(layout.core_ports)),
     )
 }
 
--- a/crates/lockusher-router-testbed/src/fleet/plan.rs
+++ b/crates/lockusher-router-testbed/src/fleet/plan.rs
@@ -22,10 +22,15 @@
 const EDGE_PORTS_FROM: u16 = 10_000;
 const EDGE_PORTS_TO: u16 = 32_000;
 const PORTS_OF_EDGE: u16 = 16;
-/// Last bytes of the addresses of core machines, edge machines and stand-ins.
-const FIRST_CORE: u8 = 10;
-const FIRST_EDGE: u8 = 50;
-const FIRST_OUTSIDE: u8 = 100;
+/// Last byte of the address of a network's first machine.
+const FIRST_MACHINE: u8 = 10;
+/// Core machines, edge machines and stand-ins have networks of their own; third bytes from that of the fleet on.
+const CORE_NETWORK: u8 = 0;
+const EDGE_NETWORK: u8 = 1;
+const OUTSIDE_NETWORK: u8 = 2;
+/// Positions of internal listeners in a machine's range of ports.
+const SUBSCRIPTIONS: u16 = 0;
+const AGENTS: u16 = 2;
 /// Seeds that a process is told.
 const MOST_SEEDS: usize = 3;
 
@@ -44,6 +49,7 @@
     pub retry_budget_slack: u64,
     pub transit_ms: u64,
     pub again_s: f64,
+    pub recovery_s: u64,
 }
 
 impl Default for FleetBounds {
@@ -61,6 +67,7 @@
             retry_budget_slack: 52,
             transit_ms: 120,
             again_s: 7.5,
+            recovery_s: 12,
         }
     }
 }
@@ -78,6 +85,28 @@
     pub cloud_rate_per_s: f64,
     pub cloud_lag_ms: u64,
     pub bounds: FleetBounds,
+    /// The program that is started; by default that of these sources.
+    pub program: Option<PathBuf>,
+}
+
+/// A machine that serves the operator, so that settings files may name it as a seed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seed {
+    /// A core machine: it runs a control node.
+    Core(usize),
+    /// An edge machine: its agent redirects operators.
+    Edge(usize),
+}
+
+/// Which machines the settings files name as seeds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SeedChoice {
+    /// Core machines, which run control nodes.
+    Cores,
+    /// One core machine and two edge machines, which redirect operators and run none.
+    Mixed,
+    /// Edge machines only.
+    Edges,
 }
 
 /// An edge machine.
@@ -89,6 +118,11 @@
 }
 
 impl EdgeMachine {
+    /// Where other agents reach this one.
+    pub fn agent_address(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip, self.internal_ports.0 + AGENTS)
+    }
+
     pub fn mixer(&self) -> MixerAddress {
         let address = |port| SocketAddr::V4(SocketAddrV4::new(self.ip, port));
         MixerAddress {
@@ -114,25 +148,34 @@
     pub edges: Vec<EdgeMachine>,
     pub cores: Vec<CoreMachine>,
     pub core_ports: (u16, u16),
+    /// What settings files that are written from now on name.
+    pub seeds: Vec<Seed>,
 }
 
 impl Layout {
     /// Gives every machine an address of 127.0.0.0/8 that no other fleet on this box is likely to use.
     pub fn new(plan: &FleetPlan) -> std::io::Result<Layout> {
         let network = random_network();
-        let ip = |last: u8| Ipv4Addr::new(127, network.0, network.1, last);
+        let ip = |part: u8, number: usize| {
+            Ipv4Addr::new(
+                127,
+                network.0,
+                network.1 + part,
+                FIRST_MACHINE + number as u8,
+            )
+        };
         let zone = |number: usize| plan.zones[number % plan.zones.len()].clone();
         let mut edges = Vec::new();
         for number in 0..plan.edges {
             let internal_ports = free_port_range()?;
             edges.push(EdgeMachine {
-                ip: ip(FIRST_EDGE + number as u8),
+                ip: ip(EDGE_NETWORK, number),
                 zone: zone(number),
                 internal_ports,
             });
         }
         let core = |number: usize| {
-            let ip = ip(FIRST_CORE + number as u8);
+            let ip = ip(CORE_NETWORK, number);
             CoreMachine {
                 ip,
                 zone: zone(number),
@@ -147,12 +190,27 @@
             edges,
             cores,
             core_ports: CORE_PORTS,
+            seeds: (0..plan.cores.min(MOST_SEEDS)).map(Seed::Core).collect(),
         })
     }
 
     /// The address of a stand-in.
     pub fn outside(&self, number: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.network.0, self.network.1, FIRST_OUTSIDE + number)
+        let third = self.network.1 + OUTSIDE_NETWORK;
+        Ipv4Addr::new(127, self.network.0, third, FIRST_MACHINE + number)
+    }
+
+    /// Where operators call a machine.
+    pub fn operator_address(&self, seed: Seed) -> SocketAddrV4 {
+        match seed {
+            Seed::Core(core) => self.cores[core].control,
+            Seed::Edge(edge) => SocketAddrV4::new(self.edges[edge].ip, CONTROL_PORT),
+        }
+    }
+
+    /// How many control nodes may be lost at once.
+    pub fn tolerated_losses(&self) -> usize {
+        self.plan.cores.saturating_sub(1) / 2
     }
 
     /// The data folder of a core machine.
@@ -170,7 +228,9 @@
             push(&mut text, "listenAddresses.front", mixer.front);
             push(&mut text, "listenAddresses.readiness", mixer.readiness);
         } else {
-            push(&mut text, "serves", "");
+            push(&mut text, "serves", "control_plane");
+            let control = self.operator_address(Seed::Edge(edge));
+            push(&mut text, "listenAddresses.control", control);
         }
         push(&mut text, "countsForQuorum", false);
         push(&mut text, "limits.diskMb", 0);
@@ -210,10 +270,9 @@
             push(text, &format!("zones.{zone}"), &plan.region);
         }
         let seeds: Vec<String> = self
-            .cores
+            .seeds
             .iter()
-            .take(MOST_SEEDS)
-            .map(|core| core.control.to_string())
+            .map(|seed| self.operator_address(*seed).to_string())
             .collect();
         push(text, "seeds", seeds.join(","));
         push(text, "firstStart", first_start);
@@ -230,11 +289,7 @@
             "contracts",
             "base,drain,config,cost,retry,recover,split,stream,engine",
         );
-        push(
-            text,
-            "faultTolerance.machines",
-            plan.cores.saturating_sub(1) / 2,
-        );
+        push(text, "faultTolerance.machines", self.tolerated_losses());
         push(text, "faultTolerance.zones", 0);
         push(text, "faultTolerance.regions", 0);
         push(
@@ -264,7 +319,7 @@
     push(text, "bounds.retryBudgetRatio", bounds.retry_budget_ratio);
     push(text, "bounds.budgetWindowS", bounds.budget_window_s);
     push(text, "bounds.retryBudgetSlack", bounds.retry_budget_slack);
-    push(text, "bounds.recoveryS", 12);
+    push(text, "bounds.recoveryS", bounds.recovery_s);
     push(text, "bounds.transitMs", bounds.transit_ms);
     push(text, "bounds.again_s", bounds.again_s);
     push(text, "bounds.fenced", false);
@@ -277,11 +332,21 @@
     let _ = writeln!(text, "{key}={value}");
 }
 
+/// The port at which a machine with this range of ports looks for others' agents.
+pub(super) fn agents_port(ports: (u16, u16)) -> u16 {
+    ports.0 + AGENTS
+}
+
+/// The port at which a machine with this range of ports looks for control nodes as a subscriber.
+pub(super) fn subscriptions_port(ports: (u16, u16)) -> u16 {
+    ports.0 + SUBSCRIPTIONS
+}
+
 /// Two bytes of an address, by chance.
 fn random_network() -> (u8, u8) {
     let chance = RandomState::new().hash_one(std::process::id());
     let [one, other, ..] = chance.to_le_bytes();
-    (one % 200 + 20, other % 250 + 1)
+    (one % 200 + 20, other % 80 * 3 + 1)
 }
 
 /// Internal ports for one edge machine: free at 127.0.0.1 and not handed out in this process before.
--- a/crates/lockusher-router-testbed/src/fleet/process.rs
+++ b/crates/lockusher-router-testbed/src/fleet/process.rs
@@ -1,7 +1,7 @@
 //! One process of the fleet.
 
 use std::fs::OpenOptions;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use derive_more::Display;
@@ -12,7 +12,7 @@
 const ENDED_BY_SIGNAL: i32 = -1;
 
 /// What a process does.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
     #[display("control")]
     Control,
@@ -22,6 +22,14 @@
     Proxy,
 }
 
+/// Which process: its role, and its machine among those that have such a role.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{role}-{machine}")]
+pub struct ProcessId {
+    pub role: Role,
+    pub machine: usize,
+}
+
 /// A signal that the platform sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
@@ -51,6 +59,18 @@
     format!("{role}-{machine}")
 }
 
+/// Writes the settings file of a process; returns its path.
+pub(super) fn write_settings(
+    folder: &Path,
+    role: Role,
+    machine: usize,
+    settings: &str,
+) -> std::io::Result<PathBuf> {
+    let path = folder.join(format!("{}.conf", name(role, machine)));
+    std::fs::write(&path, settings)?;
+    Ok(path)
+}
+
 /// A running process.
 pub struct NodeProcess {
     role: Role,
@@ -68,8 +88,7 @@
         settings: &str,
     ) -> std::io::Result<NodeProcess> {
         let name = name(role, machine);
-        let settings_path = folder.join(format!("{name}.conf"));
-        std::fs::write(&settings_path, settings)?;
+        let settings_path = write_settings(folder, role, machine, settings)?;
         if let Some(disk) = settings
             .lines()
             .find_map(|line| line.strip_prefix("dataDirectory="))
@@ -96,6 +115,14 @@
         })
     }
 
+    /// Which process it is.
+    pub fn id(&self) -> ProcessId {
+        ProcessId {
+            role: self.role,
+            machine: self.machine,
+        }
+    }
+
     /// Its role and machine in one word.
     pub fn name(&self) -> String {
         name(self.role, self.machine)
@@ -120,8 +147,14 @@
     }
 
     pub(super) fn kill(&mut self) {
+        self.send_kill();
         // It may have ended already; either way it is waited for.
-        let _ = self.child.kill();
         let _ = self.child.wait();
     }
+
+    /// Kills it without waiting for its end.
+    pub(super) fn send_kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+    }
 }
--- a/crates/lockusher-router-testbed/src/load.rs
+++ b/crates/lockusher-router-testbed/src/load.rs
@@ -138,7 +138,11 @@
             if self.stopped.load(Ordering::SeqCst) {
                 return;
             }
-            let front_of = |number| self.front(due.client_hash, number);
+            let kept = client.kept_front();
+            let front_of = |number| {
+                kept.filter(|_| number == 0)
+                    .unwrap_or_else(|| self.front(due.client_hash, number))
+            };
             let record = client.request(&due.spec, due.at, front_of);
             lock(&self.records).push(record);
         }
--- a/crates/lockusher-router-testbed/src/main.rs
+++ b/crates/lockusher-router-testbed/src/main.rs
@@ -1,18 +1,20 @@
 //! `lockusher-router-testbed`: starts a whole fleet on the loopback and shows it, or puts load on it.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
 use getopts::{Matches, Options};
 use lockusher_router_testbed::decisions::{TraceError, read_trace, table};
 use lockusher_router_testbed::demo::{DemoError, DemoPlan, Outcome, play};
-use lockusher_router_testbed::hunt::{HuntPlan, draw_day, play_day};
 use lockusher_router_testbed::report::{PlotError, page};
 use lockusher_router_testbed::run_file::{Run, RunFileError};
+use lockusher_router_testbed::soak::{
+    SCENARIOS, Schedule, SoakPlan, draw_schedule, play as play_soak, scenario,
+};
 use lockusher_router_testbed::world::WorldPlan;
 
 /// Exit code when a rule was broken or a process ended by itself.
@@ -32,7 +34,7 @@
         value: String,
         expected: &'static str,
     },
-    #[display("unknown command {_0:?}: expected demo, load, hunt, report or decisions")]
+    #[display("unknown command {_0:?}: expected demo, load, soak, report or decisions")]
     #[from(ignore)]
     UnknownCommand(#[error(not(source))] String),
     #[display("{_0}")]
@@ -83,7 +85,7 @@
     let outcome = match command {
         Some("demo") => play(&plan(&matches, true, 30)?)?,
         Some("load") => play(&plan(&matches, false, 20)?)?,
-        Some("hunt") => return hunt(&matches),
+        Some("soak") => return soak(&matches),
         Some("report") => return report(&matches),
         Some("decisions") => return decisions(&matches),
         other => {
@@ -100,11 +102,11 @@
 }
 
 const BRIEF: &str = "\
-Usage: lockusher-router-testbed (demo|load|hunt) [options]\n       lockusher-router-testbed report [--page FILE] RUN...\n       lockusher-router-testbed decisions LOG...
+Usage: lockusher-router-testbed (demo|load|soak) [options]\n       lockusher-router-testbed report [--page FILE] RUN...\n       lockusher-router-testbed decisions LOG...
 
   demo   starts a fleet on the loopback, shows it under load and troubles, and ends by itself
   load   the same without troubles: figures of a load at given rates
-  hunt   days with troubles drawn by chance, to find broken rules; logs of a broken day are kept
+  soak   series of disturbances that overlap, until all is lost at once and comes back; logs of a run that fails are kept
   decisions a table of where sends wait, of logs of proxies at the level debug
   report a page with figures and plots of runs that were saved, side by side
 
@@ -137,7 +139,7 @@
     options.optopt(
         "",
         "seconds",
-        "length of the load (30 for demo, 20 for load and hunt)",
+        "length of the load (30 for demo, 20 for load)",
         "S",
     );
     options.optopt("", "seed", "seed of the load, or of the first day (1)", "N");
@@ -154,19 +156,42 @@
         "where report writes its page (report.html)",
         "FILE",
     );
-    options.optopt("", "days", "days of a hunt (10)", "N");
-    options.optopt("", "troubles", "troubles in a day of a hunt (4)", "N");
-    options.optflag(
+    options.optopt(
+        "",
+        "runs",
+        "runs of a soak, on seeds from that of --seed on (10)",
+        "N",
+    );
+    options.optopt(
+        "",
+        "series",
+        "series of disturbances in a run of a soak (6)",
+        "N",
+    );
+    options.optopt(
+        "",
+        "closing",
+        "when all is lost in a run of a soak, in seconds (14)",
+        "S",
+    );
+    options.optopt(
         "",
-        "calm-machines",
-        "in a hunt, kill and freeze no machines: more rules bind then",
+        "scenario",
+        "play this soak instead of drawn ones, or all of them in turn",
+        "NAME|all",
     );
     options.optopt(
         "",
         "jobs",
-        "days of a hunt that are played at once (2)",
+        "runs of a soak that are played at once (2)",
         "N",
     );
+    options.optopt(
+        "",
+        "program",
+        "the lockusher-node that is played (that of these sources)",
+        "FILE",
+    );
     options
 }
 
@@ -201,6 +226,7 @@
         prefill_searchers: value(matches, "prefill", COUNT, 2)?,
         decode_searchers: value(matches, "decode", COUNT, 3)?,
         plain_searchers: value(matches, "plain", COUNT, 2)?,
+        program: matches.opt_str("program").map(PathBuf::from),
         ..WorldPlan::default()
     };
     Ok(DemoPlan {
@@ -232,34 +258,35 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn hunt(matches: &Matches) -> Result<ExitCode, CommandError> {
+fn soak(matches: &Matches) -> Result<ExitCode, CommandError> {
     const COUNT: &str = "a whole number";
     let demo = plan(matches, true, 20)?;
-    let plan = HuntPlan {
+    let closing_s: u64 = value(matches, "closing", COUNT, 14)?;
+    let plan = SoakPlan {
         world: demo.world,
         rate_per_second: demo.rate_per_second,
-        length: demo.length,
-        troubles: value(matches, "troubles", COUNT, 4)?,
-        disturbs_machines: !matches.opt_present("calm-machines"),
+        closing_at: Duration::from_secs(closing_s),
+        series: value(matches, "series", COUNT, 6)?,
     };
-    let days: u64 = value(matches, "days", COUNT, 10)?;
+    let runs: u64 = value(matches, "runs", COUNT, 10)?;
     let jobs: usize = value(matches, "jobs", COUNT, 2)?;
-    let next = AtomicU64::new(0);
-    let bad = AtomicU64::new(0);
+    let schedules = schedules(matches, &plan, demo.seed, runs)?;
+    let next = AtomicUsize::new(0);
+    let bad = AtomicUsize::new(0);
     std::thread::scope(|scope| {
         for _ in 0..jobs {
             scope.spawn(|| {
-                while let Some(number) =
-                    Some(next.fetch_add(1, Ordering::SeqCst)).filter(|number| *number < days)
+                while let Some((name, schedule)) =
+                    schedules.get(next.fetch_add(1, Ordering::SeqCst))
                 {
-                    let good = hunt_day(&plan, demo.seed + number);
-                    bad.fetch_add(u64::from(!good), Ordering::SeqCst);
+                    let good = soak_run(&plan, name, schedule);
+                    bad.fetch_add(usize::from(!good), Ordering::SeqCst);
                 }
             });
         }
     });
     let bad = bad.load(Ordering::SeqCst);
-    println!("days={days} bad={bad}");
+    println!("runs={} bad={bad}", schedules.len());
     Ok(if bad == 0 {
         ExitCode::SUCCESS
     } else {
@@ -267,20 +294,47 @@
     })
 }
 
-/// Plays one day and tells of it in one go, since several are played at once.
-fn hunt_day(plan: &HuntPlan, seed: u64) -> bool {
-    let day = draw_day(plan, seed);
-    let result = match play_day(plan, &day) {
+/// The runs with their names: drawn ones have none.
+fn schedules(
+    matches: &Matches,
+    plan: &SoakPlan,
+    seed: u64,
+    runs: u64,
+) -> Result<Vec<(&'static str, Schedule)>, CommandError> {
+    let Some(name) = matches.opt_str("scenario") else {
+        let drawn = (seed..seed + runs)
+            .map(|seed| ("drawn", draw_schedule(seed, plan.series, plan.closing_at)));
+        return Ok(drawn.collect());
+    };
+    if name == "all" {
+        let all = SCENARIOS.iter();
+        return Ok(all.map(|one| (one.name, one.schedule(seed))).collect());
+    }
+    match scenario(&name) {
+        Some(one) => Ok((seed..seed + runs)
+            .map(|seed| (one.name, one.schedule(seed)))
+            .collect()),
+        None => Err(CommandError::Value {
+            option: "scenario",
+            value: name,
+            expected: "the name of a scenario, or all",
+        }),
+    }
+}
+
+/// Plays one run and tells of it in one go, since several are played at once.
+fn soak_run(plan: &SoakPlan, name: &str, schedule: &Schedule) -> bool {
+    let result = match play_soak(plan, schedule) {
         Ok(result) => result,
         Err(error) => {
-            println!("{day}\n  not played: {error}");
+            println!("{name} {schedule}\n  not played: {error}");
             return false;
         }
     };
     let total = result.figures.total();
     let mut text = format!(
-        "{day}\n  requests={} served={}",
-        total.requests, total.served
+        "{name} {schedule}\n  requests={} served={}; {}",
+        total.requests, total.served, result.recovery
     );
     let violations = result
         .violations
--- a/crates/lockusher-router-testbed/src/hunt/mod.rs
+++ b/crates/lockusher-router-testbed/src/soak/mod.rs
@@ -1,15 +1,24 @@
-//! Hunts: days with troubles drawn by chance, played on a whole deployment, to find broken rules.
+//! Soaks: a whole deployment under load while disturbances overlap, until everything is lost at once and comes back.
+//!
+//! The processes are real and run in real time; clients keep using their connections until the process at the other end is
+//! gone. The rules are checked over the whole run, and the one on recovery by its own terms.
 
+mod disturbance;
 mod player;
-mod trouble;
+mod recovery;
+mod scenario;
+mod schedule;
 mod writer;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
 
-pub use trouble::{Day, Trouble, draw_day};
+pub use disturbance::Disturbance;
+pub use recovery::{Recovery, RecoveryTimes, Served};
+pub use scenario::{SCENARIOS, Scenario, scenario};
+pub use schedule::{Closing, ClosingFault, Schedule, Step, draw_schedule};
 
 use crate::checker::{Rule, Violation};
 use crate::deployment::mix;
@@ -23,17 +32,17 @@
 use crate::world::{World, WorldError, WorldPlan};
 use player::Player;
 
-/// The calm end of every day: troubles begin early enough for their effects to be over by then.
-pub(crate) const CALM_END: Duration = Duration::from_secs(8);
+/// Traffic goes on for this long after the time by which service must be back.
+pub(crate) const CALM_END: Duration = Duration::from_secs(6);
 /// Of the requests in the last part of the calm end, so many must be served.
 const RECOVERED_SHARE: f64 = 0.9;
 const RECOVERY_WINDOW: Duration = Duration::from_secs(3);
-/// How long the operator asks for the configuration at the end of a day.
+/// How long the operator asks for the configuration at the end.
 const READ_BACK_WAIT: Duration = Duration::from_secs(15);
 
-/// Why a day could not be played.
+/// Why a soak could not be played.
 #[derive(Debug, Display, Error, From)]
-pub enum HuntError {
+pub enum SoakError {
     #[display("{_0}")]
     World(WorldError),
     #[display("{_0}")]
@@ -44,89 +53,116 @@
     Io(std::io::Error),
 }
 
-/// How days are played.
+/// How soaks are played.
 #[derive(Clone, Debug)]
-pub struct HuntPlan {
+pub struct SoakPlan {
     pub world: WorldPlan,
     pub rate_per_second: f64,
-    /// Length of a day's traffic.
-    pub length: Duration,
-    /// Troubles in a day.
-    pub troubles: usize,
-    /// Whether machines of the fleet are killed and frozen. Without that, the rules that bind machines in touch
-    /// only are checked as well.
-    pub disturbs_machines: bool,
+    /// When the closing fault of a drawn soak comes.
+    pub closing_at: Duration,
+    /// Series of disturbances in a drawn soak.
+    pub series: usize,
 }
 
-/// What came of a day.
+/// What came of a soak.
 #[derive(Clone, Debug)]
-pub struct DayResult {
-    pub day: Day,
+pub struct SoakResult {
+    pub schedule: Schedule,
     pub figures: Figures,
+    pub recovery: Recovery,
     pub violations: Vec<Violation>,
-    /// What went wrong besides: processes that ended, traffic or a configuration that didn't come back.
+    /// What went wrong besides: service or a configuration that didn't come back, processes that ended by themselves.
     pub faults: Vec<String>,
     /// Where the processes' logs are, if they were kept.
     pub logs: Option<std::path::PathBuf>,
 }
 
-impl DayResult {
+impl SoakResult {
     /// Whether nothing went wrong.
     pub fn is_good(&self) -> bool {
         self.violations.is_empty() && self.faults.is_empty()
     }
 }
 
-/// Plays one day.
-pub fn play_day(plan: &HuntPlan, day: &Day) -> Result<DayResult, HuntError> {
+/// Plays one soak.
+pub fn play(plan: &SoakPlan, schedule: &Schedule) -> Result<SoakResult, SoakError> {
+    let bound = Duration::from_secs(plan.world.bounds.recovery_s);
+    let length = schedule.returned_at() + bound + CALM_END;
     let mut world = World::start(&plan.world)?;
-    let load = world.load(&load_plan(plan, &world, day.seed));
-    let mut player = Player::new(&mut world, plan.rate_per_second);
-    player.play(day, plan.length)?;
-    let (extra, written) = player.end();
-    let mut records = load.finish();
-    records.extend(extra);
-    let mut faults = world.fleet.ended_by_themselves();
+    let load = world.load(&load_plan(plan, &world, schedule.seed, length));
+    let grace = Duration::from_secs(plan.world.bounds.grace_s);
+    let mut player = Player::new(&mut world, plan.rate_per_second, grace);
+    let closing = player.play(schedule, length)?;
+    let (extra, written, own_ends) = player.end();
+    let records = load.finish();
+    let times = RecoveryTimes {
+        fault_at: closing.fault_at,
+        returned_at: closing.returned_at,
+        bound,
+    };
+    let recovery = Recovery::of(&records, times);
+    let mut faults = broken_recovery(&records, times);
+    faults.extend(check_end(&world, &records));
+    let ports_held = schedule.closing.ports_held.is_some();
+    faults.extend(own_ends.into_iter().filter(|_| !ports_held));
     faults.extend(written.check_read_back(&world.operator, READ_BACK_WAIT));
-    faults.extend(check_recovery(&world, &records));
-    let violations = violations(&world, day, &records);
+    let records: Vec<RequestRecord> = records.into_iter().chain(extra).collect();
+    let violations = violations(&world, &records);
     let is_good = faults.is_empty() && violations.is_empty();
     let logs = (!is_good).then(|| world.fleet.keep_folder());
-    Ok(DayResult {
-        day: day.clone(),
+    Ok(SoakResult {
+        schedule: schedule.clone(),
         figures: Figures::of(&records),
+        recovery,
         violations,
         faults,
         logs,
     })
 }
 
-fn load_plan(plan: &HuntPlan, world: &World, seed: u64) -> LoadPlan {
+fn load_plan(plan: &SoakPlan, world: &World, seed: u64, length: Duration) -> LoadPlan {
     LoadPlan {
         kinds: mix(&world.configuration, plan.rate_per_second),
-        length: plan.length,
+        length,
         workers: (plan.rate_per_second * 3.0) as usize,
         seed,
         reuse_within: Duration::from_millis(world.configuration.limits.idle_timeout_ms * 4 / 5),
     }
 }
 
-/// The rules that bind only machines in touch don't count on days that trouble the fleet's own machines.
-fn violations(world: &World, day: &Day, records: &[RequestRecord]) -> Vec<Violation> {
+/// The rules that bind only machines in touch don't count: the closing fault alone puts all of them out of touch.
+fn violations(world: &World, records: &[RequestRecord]) -> Vec<Violation> {
     let only_in_touch = [Rule::Drain, Rule::Config, Rule::Lost];
-    let disturbed = day
-        .steps
-        .iter()
-        .any(|step| step.trouble.disturbs_machines());
     let mut found = world.check(records).violations;
-    found.retain(|violation| !(disturbed && only_in_touch.contains(&violation.rule)));
+    found.retain(|violation| !only_in_touch.contains(&violation.rule));
     found
 }
 
-fn check_recovery(world: &World, records: &[RequestRecord]) -> Option<String> {
+/// The rule on recovery over all requests, and by the same terms for each route.
+fn broken_recovery(records: &[RequestRecord], times: RecoveryTimes) -> Vec<String> {
+    let routes: BTreeSet<&str> = records
+        .iter()
+        .map(|record| record.spec.route.as_str())
+        .collect();
+    let of_route = |route: &str| {
+        let of_route = records.iter().filter(|record| record.spec.route == route);
+        Recovery::of(&of_route.cloned().collect::<Vec<_>>(), times)
+    };
+    let all = ("all routes", Recovery::of(records, times));
+    let by_route = routes.into_iter().map(|route| (route, of_route(route)));
+    [all]
+        .into_iter()
+        .chain(by_route)
+        .filter(|(_, recovery)| recovery.is_broken())
+        .map(|(route, recovery)| format!("RECOVER, {route}: {recovery}"))
+        .collect()
+}
+
+/// Whether nearly all is served at the end.
+fn check_end(world: &World, records: &[RequestRecord]) -> Option<String> {
     let last = records.iter().map(|record| record.due).max()?;
     let from = last.saturating_sub(RECOVERY_WINDOW.as_micros() as u64);
-    let total = Figures::of(records.iter().filter(|record| record.due >= from)).total();
+    let total = Served::of(records, |due| due >= from);
     let share = total.served as f64 / total.requests.max(1) as f64;
     let unserved = records
         .iter()
--- /dev/null
+++ b/crates/lockusher-router-testbed/src/soak/scenario.rs
@@ -0,0 +1,130 @@
+//! Soaks that are given instead of drawn: each brings about one cause for which service may stay away.
+
+use std::time::Duration;
+
+use super::disturbance::Disturbance;
+use super::schedule::{Closing, ClosingFault, Schedule, Step};
+use crate::fleet::{Role, SeedChoice};
+
+/// The closing fault of a scenario comes at this time.
+const CLOSING_AT: Duration = Duration::from_secs(14);
+
+/// A soak that brings about one cause.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Scenario {
+    pub name: &'static str,
+    steps: &'static [(f64, Disturbance)],
+    fault: ClosingFault,
+    down_s: f64,
+    ports_held_s: Option<f64>,
+}
+
+/// All scenarios.
+pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "seeds",
+        steps: &[(4.0, Disturbance::ChangeSeeds(SeedChoice::Edges))],
+        fault: ClosingFault::KillAll,
+        down_s: 1.0,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "mixed-seeds",
+        steps: &[(4.0, Disturbance::ChangeSeeds(SeedChoice::Mixed))],
+        fault: ClosingFault::PowerLost,
+        down_s: 1.0,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "stages",
+        steps: &[(3.0, Disturbance::RetireDecodeSearchers)],
+        fault: ClosingFault::KillAll,
+        down_s: 1.0,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "attempts",
+        steps: &[(10.0, Disturbance::KillAll(Role::Control))],
+        fault: ClosingFault::PowerLost,
+        down_s: 4.0,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "ports",
+        steps: &[],
+        fault: ClosingFault::KillAll,
+        down_s: 1.0,
+        ports_held_s: Some(5.0),
+    },
+    Scenario {
+        name: "quorum",
+        steps: &[
+            (8.0, Disturbance::LoseDisk(0)),
+            (13.0, Disturbance::Freeze(Role::Control, 1)),
+        ],
+        fault: ClosingFault::KillAll,
+        down_s: 1.0,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "disk",
+        steps: &[(13.5, Disturbance::ConfigurationStorm)],
+        fault: ClosingFault::DisksLost,
+        down_s: 1.0,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "list",
+        steps: &[(13.9, Disturbance::PlatformDown)],
+        fault: ClosingFault::KillAll,
+        down_s: 0.3,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "warming-up",
+        steps: &[
+            (13.5, Disturbance::CrashSearcher(0)),
+            (13.6, Disturbance::CrashSearcher(1)),
+            (13.7, Disturbance::CrashSearcher(2)),
+            (13.8, Disturbance::CrashSearcher(3)),
+        ],
+        fault: ClosingFault::KillAll,
+        down_s: 0.5,
+        ports_held_s: None,
+    },
+    Scenario {
+        name: "connections",
+        steps: &[
+            (12.0, Disturbance::CutEdge(0)),
+            (13.0, Disturbance::Freeze(Role::Proxy, 1)),
+        ],
+        fault: ClosingFault::PowerLost,
+        down_s: 3.0,
+        ports_held_s: None,
+    },
+];
+
+/// The scenario of a name.
+pub fn scenario(name: &str) -> Option<&'static Scenario> {
+    SCENARIOS.iter().find(|scenario| scenario.name == name)
+}
+
+impl Scenario {
+    /// The soak that plays it, with a seed for its load.
+    pub fn schedule(&self, seed: u64) -> Schedule {
+        let steps = self.steps.iter().map(|(at_s, disturbance)| Step {
+            at: Duration::from_secs_f64(*at_s),
+            disturbance: *disturbance,
+        });
+        Schedule {
+            seed,
+            steps: steps.collect(),
+            closing: Closing {
+                fault: self.fault,
+                at: CLOSING_AT,
+                down: Duration::from_secs_f64(self.down_s),
+                ports_held: self.ports_held_s.map(Duration::from_secs_f64),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/lockusher-router-testbed/src/soak/schedule.rs
@@ -0,0 +1,237 @@
+//! What happens in a soak, and when: drawn by seed, the same seed gives the same soak.
+//!
+//! Disturbances come in series: one kind several times in a row, at short distances, beside other series. Nothing waits
+//! for what is under way, so that they overlap with each other and with the closing fault.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::disturbance::Disturbance;
+use crate::fleet::{Role, SeedChoice};
+use crate::searcher::Fault;
+
+/// The first disturbance begins this long after the traffic, in seconds.
+const FIRST_DISTURBANCE_S: f64 = 2.0;
+/// The last one begins this long before the closing fault, in seconds.
+const LAST_BEFORE_CLOSING_S: f64 = 0.1;
+/// Disturbances of one series are this far apart, in seconds.
+const SERIES_GAP_S: std::ops::Range<f64> = 0.1..1.5;
+/// How many disturbances a series has.
+const SERIES_LENGTH: std::ops::RangeInclusive<usize> = 1..=5;
+/// For how long everything is gone, in seconds.
+const DOWN_S: std::ops::Range<f64> = 0.3..4.0;
+
+/// A disturbance and when it begins, counted from the start of the traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    pub at: Duration,
+    pub disturbance: Disturbance,
+}
+
+/// The fault that takes everything at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClosingFault {
+    /// Every process is killed; the machines answer connections with resets.
+    KillAll,
+    /// Every machine goes silent; its processes are gone when it returns.
+    PowerLost,
+    /// Like [`ClosingFault::PowerLost`]; as many control nodes as may be lost come back with empty disks.
+    DisksLost,
+}
+
+/// When everything is gone, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Closing {
+    pub fault: ClosingFault,
+    pub at: Duration,
+    pub down: Duration,
+    /// How long after the return a foreign socket holds the port at which each agent serves its proxy.
+    pub ports_held: Option<Duration>,
+}
+
+/// One soak: its seed, its disturbances in order, and the closing fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    pub seed: u64,
+    pub steps: Vec<Step>,
+    pub closing: Closing,
+}
+
+impl Schedule {
+    /// When all machines have returned.
+    pub fn returned_at(&self) -> Duration {
+        self.closing.at + self.closing.down
+    }
+}
+
+impl fmt::Display for Schedule {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "seed {}:", self.seed)?;
+        for step in &self.steps {
+            let at = step.at.as_secs_f64();
+            write!(formatter, " {at:.2}s {:?}", step.disturbance)?;
+        }
+        let Closing {
+            fault, at, down, ..
+        } = self.closing;
+        let (at, down) = (at.as_secs_f64(), down.as_secs_f64());
+        write!(formatter, " {at:.2}s {fault:?} for {down:.2}s")
+    }
+}
+
+/// Draws the soak of a seed, whose closing fault comes `closing_at` after the start of the traffic.
+pub fn draw_schedule(seed: u64, series: usize, closing_at: Duration) -> Schedule {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let closing = Closing {
+        fault: draw_closing_fault(&mut random),
+        at: closing_at,
+        down: Duration::from_secs_f64(random.random_range(DOWN_S)),
+        ports_held: None,
+    };
+    let mut steps = Vec::new();
+    for _ in 0..series {
+        steps.extend(draw_series(&mut random, closing_at));
+    }
+    // A lost disk and those of the closing fault would be more than are tolerated.
+    let mut disks_left = usize::from(closing.fault != ClosingFault::DisksLost);
+    steps.retain(|step| match step.disturbance {
+        Disturbance::LoseDisk(_) if disks_left == 0 => false,
+        Disturbance::LoseDisk(_) => {
+            disks_left -= 1;
+            true
+        }
+        _ => true,
+    });
+    steps.sort_by_key(|step| step.at);
+    Schedule {
+        seed,
+        steps,
+        closing,
+    }
+}
+
+fn draw_closing_fault(random: &mut ChaCha8Rng) -> ClosingFault {
+    let faults = [
+        ClosingFault::KillAll,
+        ClosingFault::PowerLost,
+        ClosingFault::DisksLost,
+    ];
+    *faults.choose(random).unwrap_or(&ClosingFault::KillAll)
+}
+
+fn draw_series(random: &mut ChaCha8Rng, closing_at: Duration) -> Vec<Step> {
+    let last_s = (closing_at.as_secs_f64() - LAST_BEFORE_CLOSING_S).max(FIRST_DISTURBANCE_S + 0.1);
+    // The later ones are more likely to run into the closing fault.
+    let begin_s = random
+        .random_range(FIRST_DISTURBANCE_S..last_s)
+        .max(random.random_range(FIRST_DISTURBANCE_S..last_s));
+    let gap_s = random.random_range(SERIES_GAP_S);
+    let first = draw_disturbance(random);
+    let length = if comes_once(first) {
+        1
+    } else {
+        random.random_range(SERIES_LENGTH)
+    };
+    let at = |number: usize| begin_s + number as f64 * gap_s;
+    (0..length)
+        .map(|number| Step {
+            at: Duration::from_secs_f64(at(number)),
+            disturbance: with_next_number(first, number),
+        })
+        .filter(|step| step.at.as_secs_f64() < last_s)
+        .collect()
+}
+
+/// Whether a series of it makes no sense: it takes long, or leaves nothing for a second one.
+fn comes_once(disturbance: Disturbance) -> bool {
+    use Disturbance::*;
+    matches!(
+        disturbance,
+        Roll(_) | LoseDisk(_) | RetireDecodeSearchers | Burst | SlowLinks | PlatformDown
+    )
+}
+
+/// The same disturbance of the machine or searcher that is so many further on.
+fn with_next_number(first: Disturbance, further: usize) -> Disturbance {
+    use Disturbance::*;
+    match first {
+        Kill(role, number) => Kill(role, number + further),
+        Freeze(role, number) => Freeze(role, number + further),
+        CutEdge(number) => CutEdge(number + further),
+        CutCore(number) => CutCore(number + further),
+        CrashSearcher(number) => CrashSearcher(number + further),
+        ReleaseSearcher(number) => ReleaseSearcher(number + further),
+        SlowSearcher(number) => SlowSearcher(number + further),
+        other => other,
+    }
+}
+
+fn draw_role(random: &mut ChaCha8Rng) -> Role {
+    let roles = [Role::Proxy, Role::Agent, Role::Control];
+    *roles.choose(random).unwrap_or(&Role::Control)
+}
+
+fn draw_seed_choice(random: &mut ChaCha8Rng) -> SeedChoice {
+    let choices = [SeedChoice::Cores, SeedChoice::Mixed, SeedChoice::Edges];
+    *choices.choose(random).unwrap_or(&SeedChoice::Cores)
+}
+
+fn draw_disturbance(random: &mut ChaCha8Rng) -> Disturbance {
+    const KINDS: u32 = 28;
+    let number = random.random_range(0..64);
+    match random.random_range(0..KINDS) {
+        0..=2 => Disturbance::Kill(draw_role(random), number),
+        3..=5 => Disturbance::KillAll(draw_role(random)),
+        6 | 7 => Disturbance::Freeze(draw_role(random), number),
+        8..=10 => Disturbance::Roll(draw_role(random)),
+        11 => Disturbance::HangUpAll,
+        12 => Disturbance::LoseDisk(number),
+        13 | 14 => Disturbance::ChangeSeeds(draw_seed_choice(random)),
+        15 => Disturbance::CutEdge(number),
+        16 => Disturbance::CutCore(number),
+        17 => Disturbance::ChangeConfiguration,
+        18 => Disturbance::ConfigurationStorm,
+        19 => Disturbance::RacingChanges,
+        20 => Disturbance::LostAcknowledgements,
+        21 => Disturbance::CrashSearcher(number),
+        22 => Disturbance::ReleaseSearcher(number),
+        23 => Disturbance::RetireDecodeSearchers,
+        24 => Disturbance::FaultyRuns(draw_fault(random)),
+        25 => Disturbance::FaultyPrefills(draw_fault(random)),
+        26 => Disturbance::PlatformDown,
+        _ => draw_light_disturbance(random, number),
+    }
+}
+
+/// What disturbs neither machines nor searchers for long.
+fn draw_light_disturbance(random: &mut ChaCha8Rng, number: usize) -> Disturbance {
+    let kinds = [
+        Disturbance::InvalidConfiguration,
+        Disturbance::SlowSearcher(number),
+        Disturbance::SlowLinks,
+        Disturbance::LapsingHandles,
+        Disturbance::Burst,
+    ];
+    *kinds.choose(random).unwrap_or(&Disturbance::Burst)
+}
+
+fn draw_fault(random: &mut ChaCha8Rng) -> Fault {
+    let faults = [
+        Fault::ResetAfterRequest,
+        Fault::ResetBeforeFirstEvent,
+        Fault::ResetMidEvent {
+            whole_events: random.random_range(0..3),
+        },
+        Fault::WrongIdentifier,
+        Fault::ExtraBytes,
+        Fault::Silence,
+        Fault::Reject { status: 503 },
+        Fault::Reject { status: 429 },
+        Fault::Reject { status: 421 },
+    ];
+    faults[random.random_range(0..faults.len())]
+}
--- a/crates/lockusher-router-testbed/src/world.rs
+++ b/crates/lockusher-router-testbed/src/world.rs
@@ -1,6 +1,8 @@
 //! A whole deployment on the loopback: the fleet's processes with searchers, platform, operator and clients.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,6 +62,8 @@
     pub plain_searchers: usize,
     pub cloud_lag_ms: u64,
     pub bounds: FleetBounds,
+    /// The program that is played; by default that of these sources.
+    pub program: Option<PathBuf>,
 }
 
 impl Default for WorldPlan {
@@ -72,6 +76,7 @@
             plain_searchers: 2,
             cloud_lag_ms: 300,
             bounds: FleetBounds::default(),
+            program: None,
         }
     }
 }
@@ -88,6 +93,8 @@
     pub configuration: Configuration,
     bounds: FleetBounds,
     searchers: Searchers,
+    /// Stages as the list shows them, by instance.
+    listed_stages: BTreeMap<String, Stage>,
 }
 
 impl World {
@@ -118,12 +125,13 @@
             platform,
             models,
             plains,
-            operator: Operator::new(fleet.control(), clock),
+            operator: Operator::new(fleet.operator_addresses(), clock),
             entry: Arc::new(Entry::start(fleet.mixers())),
             fleet,
             configuration: first_configuration(),
             bounds: plan.bounds.clone(),
             searchers,
+            listed_stages: BTreeMap::new(),
         };
         world.fleet.start_all()?;
         world.place_first_configuration()?;
@@ -202,6 +210,39 @@
         Ok(())
     }
 
+    /// Lets the list show the stages that the model searchers have taken.
+    pub fn list_stages(&mut self) {
+        for model in &self.models {
+            let stage = model.report().stage;
+            let instance = &model.identity().instance;
+            if self.listed_stages.get(instance) != Some(&stage) {
+                self.platform.set_stage(instance, stage.as_str());
+                self.listed_stages.insert(instance.clone(), stage);
+            }
+        }
+    }
+
+    /// Shows a model searcher as draining, in its answers and on the list.
+    pub fn drain_model(&self, instance: &str) {
+        if let Some(model) = self
+            .models
+            .iter()
+            .find(|model| model.identity().instance == instance)
+        {
+            model.drain();
+            self.platform.drain(instance);
+        }
+    }
+
+    /// Ends a model searcher for good.
+    pub fn remove_model(&mut self, instance: &str) {
+        let is_it = |model: &ModelSearcher| model.identity().instance == instance;
+        if let Some(position) = self.models.iter().position(is_it) {
+            self.models.remove(position).stop();
+            self.platform.remove(instance);
+        }
+    }
+
     fn place_first_configuration(&self) -> Result<(), WorldError> {
         match self
             .operator
@@ -304,6 +345,7 @@
         cloud_rate_per_s: 40.0,
         cloud_lag_ms: plan.cloud_lag_ms,
         bounds: plan.bounds.clone(),
+        program: plan.program.clone(),
     }
 }
 
