Agents and control nodes find each other where no seed runs a control node

Seen by callers: after everything was killed and back, every request was answered 503 (or not at all) for good. Proxies had no configuration, though a majority of control nodes served 0.07 s after the return. Cause: a settings file names as seeds machines that serve control_plane. Agents serve it too, by redirects, so that all seeds may be machines without a control node. An agent that was started anew knew these only and found nobody on the control nodes' port; a control node with an empty disk or at a new address was as lost. Change: a control node announces the members to the agents on the seeds' machines where it knows no control node, each second (0.25 s without a majority), by its settings file as it is now; such an agent uses that while it reaches none by itself. Each pass of an agent over its addresses ends with the agents on the seeds' machines, which name the control nodes they know and bring what they have. Newly learned addresses are tried at once. A node without a majority contacts whom an agent names. Attempts double their back-off at each second failure, and a pass's back-offs are bounded together, so that dead addresses don't delay a live one. The new message is appended: recorded bytes of all others are unchanged. The new tests of the agent, the policy and the fleet fail without the change.

--- a/crates/lockusher-agent/src/addresses.rs
+++ b/crates/lockusher-agent/src/addresses.rs
@@ -37,12 +37,19 @@
         SocketAddrV4::new(settings.ip_address, self.agents)
     }
 
-    /// Internal listeners of the control nodes that the settings name.
-    pub fn control_listeners(self, settings: &NodeSettings) -> Vec<SocketAddrV4> {
-        settings
-            .seeds
+    /// Internal listeners of the control nodes that the seeds name, if they name control nodes.
+    pub fn control_listeners(self, seeds: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+        let listener = |seed: &SocketAddrV4| SocketAddrV4::new(*seed.ip(), self.subscriptions);
+        seeds.iter().map(listener).collect()
+    }
+
+    /// Agents on the machines of the seeds, this one's own excepted.
+    pub fn seed_agents(self, settings: &NodeSettings, seeds: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+        let others = seeds
             .iter()
-            .map(|seed| SocketAddrV4::new(*seed.ip(), self.subscriptions))
+            .filter(|seed| *seed.ip() != settings.ip_address);
+        others
+            .map(|seed| SocketAddrV4::new(*seed.ip(), self.agents))
             .collect()
     }
 
--- a/crates/lockusher-agent/src/forward.rs
+++ b/crates/lockusher-agent/src/forward.rs
@@ -13,6 +13,7 @@
 /// Forwards whatever is newer than what was forwarded before.
 pub fn forward(agent: &AgentState) {
     let now_ms = agent.clock.millis();
+    forward_control_nodes(agent);
     forward_configuration(agent);
     forward_list(agent, now_ms);
     forward_status(agent, now_ms);
@@ -20,6 +21,34 @@
     update_gossip(agent);
 }
 
+/// Publishes which control nodes there are, so that this agent can refer others to them. What a control node announces
+/// counts only while this agent reaches none by itself.
+fn forward_control_nodes(agent: &AgentState) {
+    let announced = agent
+        .publisher
+        .update_quietly(Publisher::take_announced_control_nodes);
+    let is_connected = agent
+        .subscriber
+        .update_policy(|policy| policy.connected().is_some());
+    if let Some(announced) = announced.filter(|_| !is_connected) {
+        agent.subscriber.learn(&announced);
+        agent
+            .subscriber
+            .update_quietly(|subscriber| subscriber.set_control_nodes(announced));
+    }
+    let known = agent
+        .subscriber
+        .read(|subscriber| subscriber.control_nodes().to_vec());
+    let is_published = agent
+        .publisher
+        .read(|publisher| publisher.control_nodes() == known);
+    if !is_published {
+        agent
+            .publisher
+            .update(|publisher| publisher.set_control_nodes(known));
+    }
+}
+
 fn forward_configuration(agent: &AgentState) {
     let newest = agent
         .subscriber
--- a/crates/lockusher-agent/src/serve.rs
+++ b/crates/lockusher-agent/src/serve.rs
@@ -61,7 +61,7 @@
 
 /// Forwards whatever the subscription and the proxy's acknowledgements change, for ever.
 async fn forward_changes(agent: &AgentState) -> Infallible {
-    let mut seed_reload = SeedReload::default();
+    let mut seed_reload = SeedReload::new(agent);
     loop {
         let subscription_seen = agent.subscriber.changed().generation();
         let acknowledgements_seen = agent.publisher.subscriber_activity().generation();
--- a/crates/lockusher-agent/src/state.rs
+++ b/crates/lockusher-agent/src/state.rs
@@ -52,11 +52,9 @@
     /// If the socket can't be bound.
     pub async fn create(settings: NodeSettings, ports: InternalPorts) -> Result<Self, AgentError> {
         let clock = Clock::start();
-        let policy = ControlNodePolicy::new(
-            &settings.node,
-            ports.control_listeners(&settings),
-            random_seed(),
-        );
+        let control_listeners = ports.control_listeners(&settings.seeds);
+        let mut policy = ControlNodePolicy::new(&settings.node, control_listeners, random_seed());
+        policy.set_referrers(ports.seed_agents(&settings, &settings.seeds));
         let address = ports.peer_address(&settings);
         let peers = PeerSocket::bind(address, random_seed(), clock)
             .await
--- a/crates/lockusher-agent/tests/loopback.rs
+++ b/crates/lockusher-agent/tests/loopback.rs
@@ -12,6 +12,7 @@
 use lockusher_agent::peers::socket::PeerSocket;
 use lockusher_agent::serve;
 use lockusher_distribution::departures::Departure;
+use lockusher_distribution::subscribe::announce_control_nodes;
 use lockusher_transport::clock::Clock;
 use support::common::{configuration, identity, instance};
 use support::departed;
@@ -127,6 +128,57 @@
     proxy.wait_for_list(&["a", "b", "c", "d"]).await;
 }
 
+/// The only seed's machine runs an agent and no control node.
+#[compio::test]
+async fn an_agent_whose_seed_runs_no_control_node_is_referred_to_one() {
+    let ports = free_ports().await;
+    let platform = Platform::start().await;
+    let seed = Ipv4Addr::new(127, 0, 0, 4);
+    let mut settings = settings(ports, platform.address);
+    settings.seeds = vec![SocketAddrV4::new(seed, 1)];
+    let seed_agent = ControlNode::start(SocketAddrV4::new(seed, ports.agents())).await;
+    let control = ControlNode::start(control_address(ports)).await;
+    control.publish_configuration(configuration(6, &[(1, 1)]));
+    control.publish_list(1, &[instance("a")]);
+    let _agent = start_agent(&settings);
+    let mut proxy = Proxy::start(ports);
+
+    // The seed's agent knows no control node at first.
+    seed_agent.publish_control_nodes(vec![control_address(ports)]);
+
+    proxy.wait_for_configuration(6).await;
+    proxy.wait_for_list(&["a"]).await;
+}
+
+/// All seeds are this machine's own agent, which no control node is connected to.
+#[compio::test]
+async fn an_agent_without_control_nodes_learns_of_them_by_their_announcement() {
+    let ports = free_ports().await;
+    let platform = Platform::start().await;
+    let mut settings = settings(ports, platform.address);
+    settings.seeds = vec![SocketAddrV4::new(settings.ip_address, 1)];
+    let own_peer_address = SocketAddrV4::new(settings.ip_address, ports.agents());
+    let control = ControlNode::start(control_address(ports)).await;
+    control.publish_configuration(configuration(7, &[]));
+    let _agent = start_agent(&settings);
+    let mut proxy = Proxy::start(ports);
+
+    let announced = async {
+        loop {
+            let known = announce_control_nodes(own_peer_address, vec![control_address(ports)]);
+            if let Ok(known) = known.await {
+                return known;
+            }
+        }
+    };
+    let known = timeout(LIMIT, announced).await.expect("the agent answers");
+
+    assert_eq!(known, [control_address(ports)]);
+    proxy.wait_for_configuration(7).await;
+    let known = announce_control_nodes(own_peer_address, vec![]).await;
+    assert_eq!(known.expect("an answer"), [control_address(ports)]);
+}
+
 #[compio::test]
 async fn operators_are_redirected_to_the_control_node_that_the_agent_is_connected_to() {
     let ports = free_ports().await;
--- a/crates/lockusher-agent/tests/support/edge.rs
+++ b/crates/lockusher-agent/tests/support/edge.rs
@@ -51,6 +51,12 @@
             .update(|publisher| publisher.publish_configuration(Rc::new(configuration)));
     }
 
+    /// Publishes which control nodes there are.
+    pub fn publish_control_nodes(&self, control_nodes: Vec<SocketAddrV4>) {
+        self.publisher
+            .update(|publisher| publisher.set_control_nodes(control_nodes));
+    }
+
     /// Publishes a list that counts as confirmed for the rest of the test.
     pub fn publish_list(&self, sequence: u64, instances: &[Instance]) {
         let instances = Rc::new(instances.to_vec());
--- a/crates/lockusher-config/src/lib.rs
+++ b/crates/lockusher-config/src/lib.rs
@@ -8,7 +8,7 @@
 //! | [`instances::Instance`] | the platform's instance list | [`instances_reader`] |
 //!
 //! The readers find all faults of their input in one run ([`fault::Faults`]). [`route_table`] finds the route of a request.
-//! Nothing here does I/O or reads a clock.
+//! Only [`settings_file`] does I/O, and nothing reads a clock.
 
 pub mod configuration;
 pub mod configuration_patch;
@@ -21,5 +21,6 @@
 mod json;
 pub mod route_table;
 pub mod settings;
+pub mod settings_file;
 mod settings_lines;
 pub mod settings_reader;
--- a/crates/lockusher-control/src/driver/mod.rs
+++ b/crates/lockusher-control/src/driver/mod.rs
@@ -6,6 +6,7 @@
 //! module without I/O: `instance_list_revision`, `operator_error`, `send_queue`,
 //! `stage_change_order` and `stage_switch_overlay`.
 
+pub mod announcement;
 pub mod change_request;
 pub mod disk;
 pub mod instance_list_polling;
--- a/crates/lockusher-control/src/replica/event.rs
+++ b/crates/lockusher-control/src/replica/event.rs
@@ -33,6 +33,11 @@
         /// The request.
         request: Request,
     },
+    /// Other control nodes were named by an agent that knows them; they are contacted while this node needs others.
+    Introduced {
+        /// Their internal listeners.
+        addresses: Vec<SocketAddrV4>,
+    },
     /// Comes about every 50 ms.
     Tick,
     /// The process will end soon: hand over.
--- a/crates/lockusher-control/src/replica/heartbeats.rs
+++ b/crates/lockusher-control/src/replica/heartbeats.rs
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Voters and peers; also the seeds, while this node needs them to find the others.
+    /// Voters and peers; also the seeds and those that were introduced, while this node needs them to find the others.
     fn heartbeat_targets(&self) -> BTreeSet<SocketAddrV4> {
         let voters = self
             .view
@@ -95,6 +95,7 @@
         let mut targets: BTreeSet<SocketAddrV4> = voters.chain(contacted).collect();
         if !self.is_voter() || !self.has_confirmed_quorum() {
             targets.extend(&self.setup.seeds);
+            targets.extend(&self.introduced);
         }
         targets.remove(&self.setup.address);
         targets
--- a/crates/lockusher-control/src/replica/recovery.rs
+++ b/crates/lockusher-control/src/replica/recovery.rs
@@ -96,6 +96,7 @@
             back_off_until: now,
             change_due_since: None,
             peers: Peers::new(now, timing.startup_grace),
+            introduced: Vec::new(),
             requests: Requests::new(first_request),
             next_ticket: 0,
             effects: Vec::new(),
--- a/crates/lockusher-control/src/replica/state_machine.rs
+++ b/crates/lockusher-control/src/replica/state_machine.rs
@@ -91,6 +91,8 @@
     pub(super) change_due_since: Option<Millis>,
     /// What the other nodes have reported, and whom this node can reach.
     pub(super) peers: Peers,
+    /// Control nodes that an agent named, for when the seeds lead to none.
+    pub(super) introduced: Vec<SocketAddrV4>,
     /// Requests of this node's driver that aren't answered.
     pub(super) requests: Requests,
     /// Number of the newest [`PersistTicket`](crate::durable_record::PersistTicket).
@@ -155,6 +157,7 @@
             Event::Persisted { ticket } => self.on_persisted(ticket),
             Event::PersistFailed { ticket } => self.on_persist_failed(ticket),
             Event::Request { ticket, request } => self.on_request(ticket, request),
+            Event::Introduced { addresses } => self.introduced = addresses,
             Event::Tick => self.on_tick(),
             Event::Stop => self.on_stop(),
         }
--- a/crates/lockusher-control/src/serve.rs
+++ b/crates/lockusher-control/src/serve.rs
@@ -16,6 +16,7 @@
 use compio::time::sleep;
 use derive_more::{Display, Error, From};
 use lockusher_config::settings::{InternalListener, NodeSettings, TooFewPorts};
+use lockusher_config::settings_file::SeedFile;
 use lockusher_distribution::publisher::Publisher;
 use lockusher_distribution::serve::{SharedPublisher, accept};
 use lockusher_storage::Completions;
@@ -23,6 +24,7 @@
 use lockusher_transport::error::TransportError;
 use lockusher_transport::{http, tcp};
 
+use crate::driver::announcement::{self, AnnouncementPorts};
 use crate::driver::disk::{Disk, DiskError, OpenedDisk, RecoveredRecords};
 use crate::driver::instance_list_publisher::InstanceListPublisher;
 use crate::driver::peer_links::{LinkTiming, PeerLinks};
@@ -102,6 +104,11 @@
     let driver = start_driver(&settings, &resources, disk, recovered, random_seed);
 
     let hand_over_limit = Duration::from_millis(settings.bounds.grace_ms) / HAND_OVER_GRACE_DIVISOR;
+    let announcing = resources.announcement_ports.map(|ports| {
+        let seed_file = SeedFile::new(settings.seeds.clone());
+        let driver = Rc::clone(&driver);
+        announcement::run(driver, settings.ip_address, ports, seed_file)
+    });
     let settings = Rc::new(settings);
     let list_publisher = InstanceListPublisher::new(Rc::clone(&driver));
     let stage_assignment_task = options.stage_assignment.then(|| {
@@ -116,6 +123,7 @@
     let _tasks = (
         spawn_tasks(&driver, completions, listeners),
         spawn(list_polling),
+        announcing.map(spawn),
     );
     stop.await;
     log::info!("stopping");
@@ -132,6 +140,8 @@
     /// Where other control nodes send their messages; names this node among them.
     peer_address: SocketAddrV4,
     subscription_address: SocketAddrV4,
+    /// Absent if the range of ports leaves none for agents.
+    announcement_ports: Option<AnnouncementPorts>,
     data_directory: PathBuf,
 }
 
@@ -146,7 +156,13 @@
             .ok_or(ControlError::Missing("dataDirectory"))?;
         let peer_port = settings.internal_port(InternalListener::Replicas)?;
         let subscription_port = settings.internal_port(InternalListener::Subscriptions)?;
+        let agents = settings.internal_port(InternalListener::Agents).ok();
+        let announcement_ports = agents.map(|agents| AnnouncementPorts {
+            agents,
+            replicas: peer_port,
+        });
         Ok(Resources {
+            announcement_ports,
             operator_address,
             peer_address: SocketAddrV4::new(settings.ip_address, peer_port),
             subscription_address: SocketAddrV4::new(settings.ip_address, subscription_port),
--- a/crates/lockusher-control/tests/recovery.rs
+++ b/crates/lockusher-control/tests/recovery.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use lockusher_control::{
-    DurableRecord, Identity, Position, Replica, ReplicaSetup, ReplicatedState, View,
+    DurableRecord, Effect, Event, Identity, Position, Replica, ReplicaSetup, ReplicatedState, View,
 };
 use support::{address, document, first_view, persist, proposal_number, records, state_of};
 
@@ -171,3 +171,23 @@
 
     assert_eq!(restored.snapshot(), snapshot);
 }
+
+/// A new node whose seeds run no control node finds the others by what an agent names.
+#[test]
+fn a_node_that_an_agent_introduced_to_others_contacts_them() {
+    let mut new = Replica::new(setup(9, false), Vec::new(), 0).0;
+    let introduced = Event::Introduced {
+        addresses: vec![address(5)],
+    };
+
+    new.handle(10, introduced);
+    let effects = new.handle(10_000, Event::Tick);
+
+    let contacted = |host| {
+        effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Send { to, .. } if *to == address(host)))
+    };
+    assert!(contacted(5), "{effects:?}");
+    assert!(contacted(1), "{effects:?}");
+}
--- a/crates/lockusher-distribution/src/message.rs
+++ b/crates/lockusher-distribution/src/message.rs
@@ -131,6 +131,9 @@
         /// Whether the instance list is requested.
         list: bool,
     },
+    /// From a control node to an agent, as the only message of a connection: the internal listeners of the control nodes
+    /// that it knows, none if it isn't in contact with a majority. The answer is [`ToSubscriber::ControlNodes`].
+    AnnounceControlNodes(Vec<SocketAddrV4>),
 }
 
 /// From a publisher to a subscriber.
--- a/crates/lockusher-distribution/src/publisher.rs
+++ b/crates/lockusher-distribution/src/publisher.rs
@@ -57,6 +57,8 @@
     control_nodes: Vec<SocketAddrV4>,
     /// `control_nodes` as a frame; absent until they are set.
     control_nodes_frame: Option<Frame>,
+    /// What a control node announced since it was taken last.
+    announced_control_nodes: Option<Vec<SocketAddrV4>>,
     subscriptions: SubscriptionTable,
     peer_sampler: PeerSampler,
 }
@@ -70,6 +72,7 @@
             status: PublisherStatus::default(),
             control_nodes: Vec::new(),
             control_nodes_frame: None,
+            announced_control_nodes: None,
             subscriptions: SubscriptionTable::default(),
             peer_sampler: PeerSampler::new(seed),
         }
@@ -116,6 +119,16 @@
             .for_each(Subscription::control_nodes_changed);
     }
 
+    /// The addresses at which control nodes serve subscribers, as published.
+    pub fn control_nodes(&self) -> &[SocketAddrV4] {
+        &self.control_nodes
+    }
+
+    /// What a control node has announced of the control nodes since the last call.
+    pub fn take_announced_control_nodes(&mut self) -> Option<Vec<SocketAddrV4>> {
+        self.announced_control_nodes.take()
+    }
+
     /// The newest configuration.
     pub fn configuration(&self) -> Option<&Rc<Configuration>> {
         self.configurations.newest()
@@ -146,6 +159,11 @@
 
     /// Takes a message of a subscriber.
     pub fn receive(&mut self, id: SubscriberId, now_ms: u64, message: FromSubscriber) {
+        if let FromSubscriber::AnnounceControlNodes(addresses) = &message
+            && !addresses.is_empty()
+        {
+            self.announced_control_nodes = Some(addresses.clone());
+        }
         if let Some(subscription) = self.subscriptions.get_mut(id) {
             subscription.receive(now_ms, message);
         }
@@ -161,9 +179,13 @@
     /// The next frame that is due to a subscriber; to be called until there is none.
     pub fn next_frame(&mut self, id: SubscriberId, now_ms: u64) -> Option<Frame> {
         let subscription = self.subscriptions.get_mut(id)?;
+        let control_nodes = self.control_nodes_frame.as_ref();
+        if subscription.is_announcer() {
+            return subscription.take_due_control_nodes(control_nodes);
+        }
         subscription.identity()?;
         subscription
-            .take_due_control_nodes(self.control_nodes_frame.as_ref())
+            .take_due_control_nodes(control_nodes)
             .or_else(|| {
                 subscription
                     .configuration
--- a/crates/lockusher-distribution/src/publisher/subscription.rs
+++ b/crates/lockusher-distribution/src/publisher/subscription.rs
@@ -48,6 +48,8 @@
     heartbeat_due_ms: u64,
     peers_due_ms: u64,
     control_nodes_sent: bool,
+    /// It isn't a subscriber, but a control node that announces others.
+    is_announcer: bool,
 }
 
 impl Subscription {
@@ -62,6 +64,7 @@
             heartbeat_due_ms: now_ms,
             peers_due_ms: now_ms,
             control_nodes_sent: false,
+            is_announcer: false,
         }
     }
 
@@ -94,9 +97,15 @@
                     self.list.restart(InstanceListRevision::default());
                 }
             }
+            FromSubscriber::AnnounceControlNodes(_) => self.is_announcer = true,
         }
     }
 
+    /// Whether a control node announces others on this connection.
+    pub fn is_announcer(&self) -> bool {
+        self.is_announcer
+    }
+
     /// The subscriber is there.
     pub fn record_contact(&mut self, now_ms: u64) {
         self.last_contact_ms = now_ms;
--- a/crates/lockusher-distribution/src/reconnect/control_node_policy.rs
+++ b/crates/lockusher-distribution/src/reconnect/control_node_policy.rs
@@ -1,10 +1,12 @@
 //! An agent's way to the control nodes: many addresses.
 //!
 //! Addresses are tried in passes: each address once, in an order that differs between agents. The first pass goes by
-//! highest-random-weight hash, so that a fleet that starts spreads evenly; later ones are shuffled.
+//! highest-random-weight hash, so that a fleet that starts spreads evenly; later ones are shuffled. Since a seed's machine
+//! need not run a control node, each pass ends with the agents on the seeds' machines, which refer to the control nodes
+//! that they know.
 //!
-//! Invariant: within a pass, no address is tried twice, addresses that control nodes sent come before seeds, and the one
-//! that was just lost comes last.
+//! Invariant: within a pass, no address is tried twice, addresses that control nodes sent come before seeds, the one
+//! that was just lost comes last of these, and referring agents come after all control nodes.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddrV4;
@@ -15,10 +17,14 @@
 
 use crate::reconnect::policy::{Attempt, ConnectionPolicy};
 
-/// Upper end of the back-off after the first failure, in milliseconds; doubles with each further one.
+/// Upper end of the back-off after the first failure, in milliseconds.
 const INITIAL_BACK_OFF_MS: u64 = 250;
+/// The back-off's upper end doubles after so many further failures.
+const FAILURES_PER_DOUBLING: u32 = 2;
 /// Upper end of the back-off after many failures, in milliseconds.
 const MAX_BACK_OFF_MS: u64 = 3_000;
+/// Upper end of all back-offs of a pass together, in milliseconds, so that many dead addresses don't delay a live one.
+const MAX_PASS_BACK_OFF_MS: u64 = 12_000;
 /// Doublings after which [`MAX_BACK_OFF_MS`] is reached for certain.
 const MAX_BACK_OFF_DOUBLINGS: u32 = 8;
 /// The failures before a connection that lasted this long, in milliseconds, don't count any more.
@@ -30,10 +36,14 @@
     node_hash: u64,
     /// Of the settings file.
     seeds: Vec<SocketAddrV4>,
-    /// Sent by control nodes.
+    /// Sent by control nodes, or by agents that know them.
     learned: Vec<SocketAddrV4>,
+    /// Agents on the seeds' machines.
+    referrers: Vec<SocketAddrV4>,
     /// Addresses left in this pass; the next one last.
     candidates: Vec<SocketAddrV4>,
+    /// Addresses of this pass at its start.
+    pass_length: usize,
     passes_started: u64,
     /// Failures since the last stable connection.
     failures: u32,
@@ -53,7 +63,9 @@
             node_hash: hasher.finish(),
             seeds,
             learned: Vec::new(),
+            referrers: Vec::new(),
             candidates: Vec::new(),
+            pass_length: 0,
             passes_started: 0,
             failures: 0,
             established_at_ms: None,
@@ -67,9 +79,20 @@
         self.seeds = seeds;
     }
 
+    /// Replaces the agents that are asked for control nodes when no address leads to one.
+    pub fn set_referrers(&mut self, referrers: Vec<SocketAddrV4>) {
+        self.referrers = referrers;
+    }
+
     /// The control node that this node is connected to.
     pub fn connected(&self) -> Option<SocketAddrV4> {
-        self.established_at_ms.and(self.last)
+        let last = self.last.filter(|_| !self.is_referrer())?;
+        self.established_at_ms.and(Some(last))
+    }
+
+    /// Passes over all addresses that were begun so far.
+    pub fn passes_started(&self) -> u64 {
+        self.passes_started
     }
 
     /// Whether all known addresses have failed, so that the settings file is worth reading again.
@@ -91,7 +114,9 @@
             self.put_other_seeds_at_the_end(&mut candidates);
         }
         self.put_last_tried_at_the_end(&mut candidates);
+        self.put_referrers_at_the_end(&mut candidates);
         self.passes_started += 1;
+        self.pass_length = candidates.len();
         self.candidates = candidates;
     }
 
@@ -115,6 +140,13 @@
         }
     }
 
+    /// Agents refer to control nodes after all addresses of control nodes have failed.
+    fn put_referrers_at_the_end(&mut self, candidates: &mut Vec<SocketAddrV4>) {
+        let mut referrers = self.referrers.clone();
+        referrers.shuffle(&mut self.random);
+        candidates.splice(0..0, referrers);
+    }
+
     /// Highest-random-weight hash of this node and an address.
     fn rank(&self, address: &SocketAddrV4) -> u64 {
         let mut hasher = DefaultHasher::new();
@@ -122,13 +154,16 @@
         hasher.finish()
     }
 
-    /// Full jitter below a limit that doubles with each failure.
+    /// Full jitter below a limit that doubles with failures.
     fn back_off_ms(&mut self) -> u64 {
         if self.failures == 0 {
             return 0;
         }
-        let doublings = (self.failures - 1).min(MAX_BACK_OFF_DOUBLINGS);
-        let limit_ms = (INITIAL_BACK_OFF_MS << doublings).min(MAX_BACK_OFF_MS);
+        let doublings = (self.failures - 1) / FAILURES_PER_DOUBLING;
+        let share_of_pass_ms = MAX_PASS_BACK_OFF_MS / self.pass_length.max(1) as u64;
+        let limit_ms = (INITIAL_BACK_OFF_MS << doublings.min(MAX_BACK_OFF_DOUBLINGS))
+            .min(MAX_BACK_OFF_MS)
+            .min(share_of_pass_ms);
         self.random.random_range(0..=limit_ms)
     }
 }
@@ -166,9 +201,14 @@
         }
         self.learned = addresses.to_vec();
         self.candidates.clear();
+        self.failures = 0;
     }
 
     fn leaves_out_of_view(&self) -> bool {
         true
     }
+
+    fn is_referrer(&self) -> bool {
+        self.last.is_some_and(|last| self.referrers.contains(&last))
+    }
 }
--- a/crates/lockusher-distribution/src/reconnect/policy.rs
+++ b/crates/lockusher-distribution/src/reconnect/policy.rs
@@ -8,6 +8,8 @@
 /// A publisher that is outside the current view for this long, in milliseconds, is left; one that is just joining
 /// isn't.
 pub const OUT_OF_VIEW_TIMEOUT_MS: u64 = 500;
+/// An agent that refers to control nodes is left after this long, in milliseconds, if it knows none.
+pub const REFERRAL_TIMEOUT_MS: u64 = 500;
 /// Timeout of connecting to a publisher, in milliseconds: an attempt to a machine without power hangs, and after a loss
 /// of power everywhere all first attempts may.
 pub const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -41,4 +43,9 @@
     fn leaves_out_of_view(&self) -> bool {
         false
     }
+
+    /// Whether the last attempt was at an agent that is only to name control nodes.
+    fn is_referrer(&self) -> bool {
+        false
+    }
 }
--- a/crates/lockusher-distribution/src/subscribe/error.rs
+++ b/crates/lockusher-distribution/src/subscribe/error.rs
@@ -19,6 +19,13 @@
     /// [`PUBLISHER_INACTIVITY_TIMEOUT_MS`](crate::reconnect::PUBLISHER_INACTIVITY_TIMEOUT_MS).
     #[display("the publisher sent no message in time")]
     InactivityTimeout,
+    /// The publisher isn't a control node; it named some, or knew none in time.
+    #[from(ignore)]
+    #[display("the publisher is an agent, which {}", if *named { "named control nodes" } else { "knows no control node" })]
+    Referral {
+        /// Whether it named control nodes.
+        named: bool,
+    },
     /// The publisher takes no part in the control plane's current view.
     #[display("the publisher is outside the current view")]
     OutOfView,
--- a/crates/lockusher-distribution/src/subscribe/shared_subscriber.rs
+++ b/crates/lockusher-distribution/src/subscribe/shared_subscriber.rs
@@ -9,9 +9,12 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 use lockusher_transport::clock::Clock;
 use lockusher_transport::error::TransportError;
 use lockusher_transport::frame::{self, FrameReader, FrameWriter};
@@ -20,7 +23,7 @@
 use crate::message::{Envelope, ToSubscriber};
 use crate::reconnect::{
     Attempt, CONNECT_TIMEOUT_MS, ConnectionPolicy, OUT_OF_VIEW_TIMEOUT_MS,
-    PUBLISHER_INACTIVITY_TIMEOUT_MS,
+    PUBLISHER_INACTIVITY_TIMEOUT_MS, REFERRAL_TIMEOUT_MS,
 };
 use crate::subscribe::connection_log::ConnectionLog;
 use crate::subscribe::error::SubscribeError;
@@ -29,11 +32,31 @@
 /// Interval at which the policy is asked again while no publisher's address is known.
 const NO_ADDRESS_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// What a message was about, as far as its connection depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Received {
+    /// It named control nodes.
+    ControlNodes,
+    /// It was of another kind, or named none.
+    Other,
+}
+
+impl Received {
+    fn of(message: &ToSubscriber) -> Self {
+        match message {
+            ToSubscriber::ControlNodes(addresses) if !addresses.is_empty() => Self::ControlNodes,
+            _ => Self::Other,
+        }
+    }
+}
+
 /// A subscriber that its connection's task shares with those who use what it has applied.
 pub struct SharedSubscriber<P> {
     subscriber: RefCell<Subscriber>,
     policy: RefCell<P>,
     changed: ChangeNotifier,
+    /// Notified of addresses that are learned, so that no attempt at an older one is waited for.
+    addresses_learned: ChangeNotifier,
     clock: Clock,
     log: RefCell<ConnectionLog>,
 }
@@ -45,6 +68,7 @@
             subscriber: RefCell::new(subscriber),
             policy: RefCell::new(policy),
             changed: ChangeNotifier::default(),
+            addresses_learned: ChangeNotifier::default(),
             clock,
             log: RefCell::default(),
         })
@@ -72,6 +96,12 @@
         change(&mut self.policy.borrow_mut())
     }
 
+    /// Takes addresses of publishers that were learned elsewhere; an attempt that waits for its time is given up.
+    pub fn learn(&self, addresses: &[SocketAddrV4]) {
+        self.policy.borrow_mut().learn(addresses);
+        self.addresses_learned.notify();
+    }
+
     /// Notified of each message that was received, and of each loss of a publisher.
     pub fn changed(&self) -> &ChangeNotifier {
         &self.changed
@@ -91,6 +121,9 @@
                 compio::time::sleep(NO_ADDRESS_RETRY_INTERVAL).await;
                 continue;
             };
+            if !self.is_due(attempt).await {
+                continue;
+            }
             let Err(error) = self.follow(attempt).await;
             self.log_end(attempt, &error);
             self.policy.borrow_mut().lost(self.clock.millis());
@@ -98,6 +131,16 @@
         }
     }
 
+    /// Waits until an attempt is due; false if newer addresses were learned meanwhile.
+    async fn is_due(&self, attempt: Attempt) -> bool {
+        let seen = self.addresses_learned.generation();
+        let delay_ms = attempt.at_ms.saturating_sub(self.clock.millis());
+        let due = compio::time::sleep(Duration::from_millis(delay_ms));
+        let learned = self.addresses_learned.changed_since(seen);
+        pin_mut!(due, learned);
+        matches!(select(due, learned).await, Either::Left(_))
+    }
+
     fn log_end(&self, attempt: Attempt, error: &SubscribeError) {
         let version = self.subscriber.borrow().applied().configuration_version;
         let now_ms = self.clock.millis();
@@ -111,10 +154,12 @@
         let subscribe = self.subscriber.borrow_mut().subscribe(self.clock.millis());
         writer.write(&Envelope::encode(&subscribe)).await?;
         let mut is_established = false;
-        let mut in_view_at_ms = self.clock.millis();
+        let connected_at_ms = self.clock.millis();
+        let mut in_view_at_ms = connected_at_ms;
         loop {
-            self.receive(&mut reader, &mut writer).await?;
+            let received = self.receive(&mut reader, &mut writer).await?;
             let now_ms = self.clock.millis();
+            self.check_referral(received, now_ms.saturating_sub(connected_at_ms))?;
             if !is_established {
                 is_established = true;
                 self.policy.borrow_mut().established(now_ms);
@@ -127,18 +172,28 @@
         }
     }
 
-    /// Connects to one publisher when the attempt is due.
+    /// Connects to one publisher.
     async fn connect(
         &self,
         attempt: Attempt,
     ) -> Result<(FrameReader<Envelope>, FrameWriter<Envelope>), SubscribeError> {
-        let delay_ms = attempt.at_ms.saturating_sub(self.clock.millis());
-        compio::time::sleep(Duration::from_millis(delay_ms)).await;
         let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let stream = lockusher_transport::tcp::connect(attempt.address, timeout).await?;
         Ok(frame::split(stream)?)
     }
 
+    /// Fails once an agent has named control nodes, or knew none for too long.
+    fn check_referral(&self, received: Received, connected_ms: u64) -> Result<(), SubscribeError> {
+        if !self.policy.borrow().is_referrer() {
+            return Ok(());
+        }
+        let named = received == Received::ControlNodes;
+        if named || connected_ms >= REFERRAL_TIMEOUT_MS {
+            return Err(SubscribeError::Referral { named });
+        }
+        Ok(())
+    }
+
     /// Fails if the publisher has been outside the current view for too long.
     fn check_view(&self, now_ms: u64, in_view_at_ms: u64) -> Result<(), SubscribeError> {
         let out_of_view = now_ms.saturating_sub(in_view_at_ms) >= OUT_OF_VIEW_TIMEOUT_MS;
@@ -153,13 +208,14 @@
         &self,
         reader: &mut FrameReader<Envelope>,
         writer: &mut FrameWriter<Envelope>,
-    ) -> Result<(), SubscribeError> {
+    ) -> Result<Received, SubscribeError> {
         let inactivity_timeout = Duration::from_millis(PUBLISHER_INACTIVITY_TIMEOUT_MS);
         let envelope = match reader.read_within(inactivity_timeout).await {
             Err(TransportError::TimedOut { .. }) => return Err(SubscribeError::InactivityTimeout),
             received => received?,
         };
         let message: ToSubscriber = envelope.decode()?;
+        let received = Received::of(&message);
         if let ToSubscriber::ControlNodes(addresses) = &message {
             self.policy.borrow_mut().learn(addresses);
         }
@@ -171,6 +227,6 @@
         if let Some(answer) = answer {
             writer.write(&Envelope::encode(&answer)).await?;
         }
-        Ok(())
+        Ok(received)
     }
 }
--- a/crates/lockusher-distribution/src/subscriber.rs
+++ b/crates/lockusher-distribution/src/subscriber.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Takes the addresses of control nodes that one of them announced.
+    pub fn set_control_nodes(&mut self, control_nodes: Vec<SocketAddrV4>) {
+        self.control_nodes = control_nodes;
+    }
+
     /// Sets what is fed by way of this subscriber; the next acknowledgement carries it. A proxy needn't call this.
     pub fn set_downstream(&mut self, downstream: Downstream) {
         self.downstream = downstream;
--- a/crates/lockusher-distribution/tests/reconnect.rs
+++ b/crates/lockusher-distribution/tests/reconnect.rs
@@ -175,3 +175,58 @@
         assert!(next.at_ms < PUBLISHER_INACTIVITY_TIMEOUT_MS / 2, "{next:?}");
     }
 }
+
+/// Agents on the seeds' machines are asked after all control nodes that are known, in each pass.
+#[test]
+fn referring_agents_are_tried_after_all_control_nodes() {
+    let mut agent = ControlNodePolicy::new("edge", seeds(2), 9);
+    agent.set_referrers(vec![address(71), address(72)]);
+    agent.learn(&[address(8)]);
+
+    for _ in 0..3 {
+        let pass = if agent.passes_started() == 0 { 3 } else { 5 };
+        let tried = fail_attempts(&mut agent, pass);
+        let referrers: HashSet<_> = tried[pass - 2..].iter().collect();
+        assert_eq!(referrers, HashSet::from([&address(71), &address(72)]));
+    }
+}
+
+#[test]
+fn an_agent_that_refers_to_others_is_no_control_node() {
+    let mut agent = ControlNodePolicy::new("edge", vec![], 9);
+    agent.set_referrers(vec![address(71)]);
+
+    let referrer = agent.next_attempt(0).expect("an attempt").address;
+    agent.established(1);
+
+    assert_eq!(referrer, address(71));
+    assert!(agent.is_referrer());
+    assert_eq!(agent.connected(), None);
+
+    agent.learn(&[address(8)]);
+    agent.lost(2);
+    let next = agent.next_attempt(2).expect("an attempt");
+    assert_eq!(next.address, address(8));
+    assert!(next.at_ms <= 2 + 250, "{next:?}");
+    assert!(!agent.is_referrer());
+}
+
+/// However many addresses are dead, the live one is tried again within the time of one pass.
+#[test]
+fn many_dead_addresses_do_not_delay_a_live_one() {
+    for number in 0..50 {
+        let mut agent = ControlNodePolicy::new(&format!("edge-{number}"), seeds(9), number);
+        agent.set_referrers(vec![address(71), address(72), address(73)]);
+        let mut now_ms = 0;
+        let mut last_tried_ms = 0;
+        while now_ms < 120_000 {
+            let attempt = agent.next_attempt(now_ms).expect("an attempt");
+            now_ms = attempt.at_ms;
+            if attempt.address == address(4) {
+                assert!(now_ms <= last_tried_ms + 20_000, "{number}: {now_ms}");
+                last_tried_ms = now_ms;
+            }
+            agent.lost(now_ms);
+        }
+    }
+}
--- a/crates/lockusher-distribution/tests/recorded_bytes.rs
+++ b/crates/lockusher-distribution/tests/recorded_bytes.rs
@@ -36,7 +36,12 @@
     FromSubscriber,
     FROM_SUBSCRIBER_KINDS,
     from_subscriber_kind,
-    [Subscribe, Acknowledge, RequestFullSnapshot]
+    [
+        Subscribe,
+        Acknowledge,
+        RequestFullSnapshot,
+        AnnounceControlNodes
+    ]
 );
 kinds_of!(
     ToSubscriber,
@@ -474,6 +479,13 @@
                 list: true,
             },
         ),
+        (
+            "announce-control-nodes",
+            FromSubscriber::AnnounceControlNodes(vec![
+                "10.0.0.1:7660".parse().expect("an address"),
+                "10.0.0.2:7660".parse().expect("an address"),
+            ]),
+        ),
     ]
 }
 
--- a/crates/lockusher-node/src/program.rs
+++ b/crates/lockusher-node/src/program.rs
@@ -7,13 +7,13 @@
 use std::time::SystemTime;
 
 use derive_more::{Display, Error, From};
+use lockusher_config::settings_file::{self, SettingsError};
 use log::{LevelFilter, SetLoggerError};
 
 use crate::check::{Report, check};
 use crate::command_line::{self, Command, FilesToCheck, PROGRAM};
 use crate::logging;
 use crate::role::{Role, RoleContext, RoleError, RoleOptions};
-use crate::settings_file::{self, SettingsError};
 use crate::signals::Signals;
 
 /// Exit code for a wrong command line or faulty files.
--- a/crates/lockusher-node/src/role.rs
+++ b/crates/lockusher-node/src/role.rs
@@ -10,11 +10,11 @@
 use derive_more::{Display, Error, From};
 use lockusher_agent::error::AgentError;
 use lockusher_config::settings::{NodeSettings, TooFewPorts};
+use lockusher_config::settings_file;
 use lockusher_control::serve::ControlError;
 use lockusher_proxy::ProxyError;
 
 use crate::composition::CompositionError;
-use crate::settings_file;
 use crate::signals::Signals;
 
 /// What a role is started with.
--- a/crates/lockusher-node/tests/role.rs
+++ b/crates/lockusher-node/tests/role.rs
@@ -6,9 +6,9 @@
 use std::sync::Mutex;
 
 use lockusher_config::settings::NodeSettings;
+use lockusher_config::settings_file::SETTINGS_VARIABLE;
 use lockusher_node::program;
 use lockusher_node::role::{Role, RoleContext, RoleError, RunningRole};
-use lockusher_node::settings_file::SETTINGS_VARIABLE;
 
 /// What the role has seen, in order.
 static SEEN: Mutex<Vec<String>> = Mutex::new(Vec::new());
