--- a/crates/lockusher-control/src/stage_scheduler/coverage.rs
+++ b/crates/lockusher-control/src/stage_scheduler/coverage.rs
@@ -14,7 +14,7 @@
 use super::stage_change::{StageChange, opposite};
 
 /// Decode searchers that a model keeps when one of them goes over to prefill.
-const DECODE_SEARCHERS_KEPT: usize = 2;
+const DECODE_SEARCHERS_RETAINED: usize = 2;
 
 /// A stage in which a model has no searcher, and who could change to it.
 #[derive(Clone, Debug, PartialEq)]
@@ -73,7 +73,7 @@
     let mut candidates: Vec<&Instance> = serving;
     candidates.retain(|one| is_ready(one, opposite(stage)));
     if stage == Stage::Prefill {
-        if candidates.len() <= DECODE_SEARCHERS_KEPT {
+        if candidates.len() <= DECODE_SEARCHERS_RETAINED {
             return None;
         }
         candidates.retain(|one| !is_last_serving_a_model(one, Stage::Decode, searchers));
--- a/crates/lockusher-control/src/stage_scheduler/no_change.rs
+++ b/crates/lockusher-control/src/stage_scheduler/no_change.rs
@@ -25,7 +25,7 @@
     ChangesInFlight,
     /// The service has had as many changes as it may for now.
     #[display("the budget of changes is spent")]
-    BudgetSpent,
+    BudgetExhausted,
     /// No searcher of the stage may leave it.
     #[display("no searcher may leave its stage")]
     NoCandidate,
--- a/crates/lockusher-control/src/stage_scheduler/service_state.rs
+++ b/crates/lockusher-control/src/stage_scheduler/service_state.rs
@@ -137,7 +137,7 @@
             return Err(NoChange::ChangesInFlight);
         }
         if !self.budget.allows_change() {
-            return Err(NoChange::BudgetSpent);
+            return Err(NoChange::BudgetExhausted);
         }
         let from = opposite(to);
         let is_excluded =
--- a/crates/lockusher-distribution/src/reconnect/control_node_policy.rs
+++ b/crates/lockusher-distribution/src/reconnect/control_node_policy.rs
@@ -160,10 +160,10 @@
             return 0;
         }
         let doublings = (self.failures - 1) / FAILURES_PER_DOUBLING;
-        let share_of_pass_ms = MAX_PASS_BACK_OFF_MS / self.pass_length.max(1) as u64;
+        let pass_limit_ms = MAX_PASS_BACK_OFF_MS / self.pass_length.max(1) as u64;
         let limit_ms = (INITIAL_BACK_OFF_MS << doublings.min(MAX_BACK_OFF_DOUBLINGS))
             .min(MAX_BACK_OFF_MS)
-            .min(share_of_pass_ms);
+            .min(pass_limit_ms);
         self.random.random_range(0..=limit_ms)
     }
 }
--- a/crates/lockusher-router-testbed/src/client.rs
+++ b/crates/lockusher-router-testbed/src/client.rs
@@ -64,7 +64,7 @@
 
     /// A mixer to which a kept connection is open. It stays with its mixer until it is closed, whether or not that calls
     /// itself ready.
-    pub fn kept_front(&mut self) -> Option<SocketAddr> {
+    pub fn retained_front(&mut self) -> Option<SocketAddr> {
         let most = self.reuse_within?;
         self.resting.retain(|_, (connection, since)| {
             since.elapsed() <= most && !connection.peer_has_closed()
--- a/crates/lockusher-router-testbed/src/fleet/mod.rs
+++ b/crates/lockusher-router-testbed/src/fleet/mod.rs
@@ -177,7 +177,7 @@
     }
 
     /// Listens where the agents serve their proxies, which must not run.
-    pub fn hold_agent_ports(&self) -> std::io::Result<Vec<TcpListener>> {
+    pub fn occupy_agent_ports(&self) -> std::io::Result<Vec<TcpListener>> {
         let edges = self.layout.edges.iter();
         let port_of = |edge: &EdgeMachine| plan::subscriptions_port(edge.internal_ports);
         edges
--- a/crates/lockusher-router-testbed/src/load.rs
+++ b/crates/lockusher-router-testbed/src/load.rs
@@ -138,7 +138,7 @@
             if self.stopped.load(Ordering::SeqCst) {
                 return;
             }
-            let kept = client.kept_front();
+            let kept = client.retained_front();
             let front_of = |number| {
                 kept.filter(|_| number == 0)
                     .unwrap_or_else(|| self.front(due.client_hash, number))
--- a/crates/lockusher-router-testbed/src/soak/disturbance.rs
+++ b/crates/lockusher-router-testbed/src/soak/disturbance.rs
@@ -20,10 +20,10 @@
     LoseDisk(usize),
     /// The settings files name other seeds from now on; every process gets SIGHUP.
     ChangeSeeds(SeedChoice),
-    /// An edge machine is cut off from all control nodes for some seconds.
-    CutEdge(usize),
-    /// A core machine is cut off from all edge machines for some seconds.
-    CutCore(usize),
+    /// An edge machine is partitioned from all control nodes for some seconds.
+    PartitionEdge(usize),
+    /// A core machine is partitioned from all edge machines for some seconds.
+    PartitionCore(usize),
     /// One change of the configuration.
     ChangeConfiguration,
     /// Several changes, one after the other.
@@ -67,8 +67,8 @@
                 | Freeze(..)
                 | LoseDisk(_)
                 | ChangeSeeds(_)
-                | CutEdge(_)
-                | CutCore(_)
+                | PartitionEdge(_)
+                | PartitionCore(_)
                 | HangUpAll
                 | Roll(Role::Agent | Role::Control)
         )
--- a/crates/lockusher-router-testbed/src/soak/player.rs
+++ b/crates/lockusher-router-testbed/src/soak/player.rs
@@ -23,7 +23,7 @@
 /// After this a process that has ended by itself, or was told to, is started anew.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 const FREEZE: Duration = Duration::from_millis(2_500);
-const CUT: Duration = Duration::from_secs(3);
+const PARTITION: Duration = Duration::from_secs(3);
 const SLOW: Duration = Duration::from_secs(3);
 const PLATFORM_DOWN: Duration = Duration::from_secs(2);
 /// How long a searcher drains before it is replaced, or gone.
@@ -104,7 +104,7 @@
     /// Model searchers that leave for good, by the number of their action.
     leaving: BTreeMap<u64, String>,
     /// Sockets that hold ports of the fleet.
-    held_ports: Vec<TcpListener>,
+    occupied_ports: Vec<TcpListener>,
 }
 
 impl<'a> Player<'a> {
@@ -124,7 +124,7 @@
             bursts: Vec::new(),
             own_ends: Vec::new(),
             leaving: BTreeMap::new(),
-            held_ports: Vec::new(),
+            occupied_ports: Vec::new(),
         }
     }
 
@@ -222,8 +222,8 @@
                 self.world.fleet.lose_disk(core)?;
             }
         }
-        if let Some(span) = closing.ports_held {
-            self.held_ports = self.world.fleet.hold_agent_ports()?;
+        if let Some(span) = closing.ports_occupied {
+            self.occupied_ports = self.world.fleet.occupy_agent_ports()?;
             self.plan_in(span, Action::ReleasePorts);
         }
         let returned_at = self.world.clock.now();
@@ -270,7 +270,7 @@
             }
             Action::RemoveModel(number) => self.remove_model(number),
             Action::PlatformUp => self.world.platform.set_down(false),
-            Action::ReleasePorts => self.held_ports.clear(),
+            Action::ReleasePorts => self.occupied_ports.clear(),
         }
         Ok(())
     }
@@ -293,15 +293,15 @@
                 self.world.fleet.change_seeds(choice)?;
                 self.world.fleet.signal_all(Signal::HangUp);
             }
-            Disturbance::CutEdge(number) => {
+            Disturbance::PartitionEdge(number) => {
                 let edge = self.machine(Role::Agent, number);
                 self.world.fleet.set_edge_cut(edge, true);
-                self.plan_in(CUT, Action::JoinEdge(edge));
+                self.plan_in(PARTITION, Action::JoinEdge(edge));
             }
-            Disturbance::CutCore(number) => {
+            Disturbance::PartitionCore(number) => {
                 let core = self.machine(Role::Control, number);
                 self.world.fleet.set_core_cut_from_edges(core, true);
-                self.plan_in(CUT, Action::JoinCore(core));
+                self.plan_in(PARTITION, Action::JoinCore(core));
             }
             Disturbance::ChangeConfiguration => self.writer.order(Order::Change),
             Disturbance::ConfigurationStorm => self.writer.order(Order::Storm),
@@ -392,12 +392,12 @@
     fn await_end(&mut self, process: ProcessId, kill_at: Duration, rolls: bool) {
         let is_running = self.world.fleet.is_running(process);
         if is_running && self.begun.elapsed() < kill_at {
-            let again = Action::AwaitEnd {
+            let look_again = Action::AwaitEnd {
                 process,
                 kill_at,
                 rolls,
             };
-            self.plan_in(END_LOOK, again);
+            self.plan_in(END_LOOK, look_again);
             return;
         }
         self.world.fleet.kill(process.role, process.machine);
--- a/crates/lockusher-router-testbed/src/soak/recovery.rs
+++ b/crates/lockusher-router-testbed/src/soak/recovery.rs
@@ -8,7 +8,7 @@
 use crate::request::RequestRecord;
 
 /// The share of requests that counts as service.
-const SERVICE_SHARE: f64 = 0.25;
+const SERVICE_RATIO: f64 = 0.25;
 
 /// Requests of a span, and how many of them were served.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -29,7 +29,7 @@
 
     /// Whether a quarter or more was served.
     pub fn is_service(self) -> bool {
-        self.requests > 0 && self.served as f64 >= self.requests as f64 * SERVICE_SHARE
+        self.requests > 0 && self.served as f64 >= self.requests as f64 * SERVICE_RATIO
     }
 }
 
--- a/crates/lockusher-router-testbed/src/soak/scenario.rs
+++ b/crates/lockusher-router-testbed/src/soak/scenario.rs
@@ -16,7 +16,7 @@
     steps: &'static [(f64, Disturbance)],
     fault: ClosingFault,
     down_s: f64,
-    ports_held_s: Option<f64>,
+    ports_occupied_s: Option<f64>,
 }
 
 /// All scenarios.
@@ -26,35 +26,35 @@
         steps: &[(4.0, Disturbance::ChangeSeeds(SeedChoice::Edges))],
         fault: ClosingFault::KillAll,
         down_s: 1.0,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "mixed-seeds",
         steps: &[(4.0, Disturbance::ChangeSeeds(SeedChoice::Mixed))],
         fault: ClosingFault::PowerLost,
         down_s: 1.0,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "stages",
         steps: &[(3.0, Disturbance::RetireDecodeSearchers)],
         fault: ClosingFault::KillAll,
         down_s: 1.0,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "attempts",
         steps: &[(10.0, Disturbance::KillAll(Role::Control))],
         fault: ClosingFault::PowerLost,
         down_s: 4.0,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "ports",
         steps: &[],
         fault: ClosingFault::KillAll,
         down_s: 1.0,
-        ports_held_s: Some(5.0),
+        ports_occupied_s: Some(5.0),
     },
     Scenario {
         name: "quorum",
@@ -64,21 +64,21 @@
         ],
         fault: ClosingFault::KillAll,
         down_s: 1.0,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "disk",
         steps: &[(13.5, Disturbance::ConfigurationStorm)],
         fault: ClosingFault::DisksLost,
         down_s: 1.0,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "list",
         steps: &[(13.9, Disturbance::PlatformDown)],
         fault: ClosingFault::KillAll,
         down_s: 0.3,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "warming-up",
@@ -90,17 +90,17 @@
         ],
         fault: ClosingFault::KillAll,
         down_s: 0.5,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
     Scenario {
         name: "connections",
         steps: &[
-            (12.0, Disturbance::CutEdge(0)),
+            (12.0, Disturbance::PartitionEdge(0)),
             (13.0, Disturbance::Freeze(Role::Proxy, 1)),
         ],
         fault: ClosingFault::PowerLost,
         down_s: 3.0,
-        ports_held_s: None,
+        ports_occupied_s: None,
     },
 ];
 
@@ -123,7 +123,7 @@
                 fault: self.fault,
                 at: CLOSING_AT,
                 down: Duration::from_secs_f64(self.down_s),
-                ports_held: self.ports_held_s.map(Duration::from_secs_f64),
+                ports_occupied: self.ports_occupied_s.map(Duration::from_secs_f64),
             },
         }
     }
--- a/crates/lockusher-router-testbed/src/soak/schedule.rs
+++ b/crates/lockusher-router-testbed/src/soak/schedule.rs
@@ -50,7 +50,7 @@
     pub at: Duration,
     pub down: Duration,
     /// How long after the return a foreign socket holds the port at which each agent serves its proxy.
-    pub ports_held: Option<Duration>,
+    pub ports_occupied: Option<Duration>,
 }
 
 /// One soak: its seed, its disturbances in order, and the closing fault.
@@ -90,7 +90,7 @@
         fault: draw_closing_fault(&mut random),
         at: closing_at,
         down: Duration::from_secs_f64(random.random_range(DOWN_S)),
-        ports_held: None,
+        ports_occupied: None,
     };
     let mut steps = Vec::new();
     for _ in 0..series {
@@ -161,8 +161,8 @@
     match first {
         Kill(role, number) => Kill(role, number + further),
         Freeze(role, number) => Freeze(role, number + further),
-        CutEdge(number) => CutEdge(number + further),
-        CutCore(number) => CutCore(number + further),
+        PartitionEdge(number) => PartitionEdge(number + further),
+        PartitionCore(number) => PartitionCore(number + further),
         CrashSearcher(number) => CrashSearcher(number + further),
         ReleaseSearcher(number) => ReleaseSearcher(number + further),
         SlowSearcher(number) => SlowSearcher(number + further),
@@ -191,8 +191,8 @@
         11 => Disturbance::HangUpAll,
         12 => Disturbance::LoseDisk(number),
         13 | 14 => Disturbance::ChangeSeeds(draw_seed_choice(random)),
-        15 => Disturbance::CutEdge(number),
-        16 => Disturbance::CutCore(number),
+        15 => Disturbance::PartitionEdge(number),
+        16 => Disturbance::PartitionCore(number),
         17 => Disturbance::ChangeConfiguration,
         18 => Disturbance::ConfigurationStorm,
         19 => Disturbance::RacingChanges,
--- a/crates/lockusher-router-testbed/tests/reasons.rs
+++ b/crates/lockusher-router-testbed/tests/reasons.rs
@@ -130,7 +130,10 @@
         for edge in 0..world.fleet.mixers().len() {
             world.fleet.kill(Role::Agent, edge);
         }
-        held = world.fleet.hold_agent_ports().expect("the ports are free");
+        held = world
+            .fleet
+            .occupy_agent_ports()
+            .expect("the ports are free");
         start(world, AGENT);
     });
 }
