--- a/crates/lockusher-proxy/src/unserved.rs
+++ b/crates/lockusher-proxy/src/unserved.rs
@@ -1,6 +1,6 @@
 //! Why requests aren't served: a count by reason and service, logged once a second while there is something to log.
 //!
-//! Owned by the [`ProxyState`](crate::proxy_state::ProxyState); `forward` records each answer that the proxy gives in
+//! Owned by the state that the tasks of a proxy share; `forward` records each answer that the proxy gives in
 //! place of a searcher's. No I/O and no clock.
 
 use std::collections::BTreeMap;
