--- a/crates/lockusher-router-testbed/src/soak/mod.rs
+++ b/crates/lockusher-router-testbed/src/soak/mod.rs
@@ -194,11 +194,7 @@
                 .or_default() += 1;
         }
     }
-    counts
-        .iter()
-        .map(|(end, count)| format!("{count} x {end}"))
-        .collect::<Vec<String>>()
-        .join(", ")
+    described(&counts)
 }
 
 /// How many requests ended how, by kind and mixer.
@@ -217,9 +213,14 @@
             .entry(format!("{} {end} at {}", record.spec.kind, last.front.ip()))
             .or_default() += 1;
     }
-    counts
+    described(&counts)
+}
+
+/// What was counted, in words.
+fn described(counts: &BTreeMap<String, usize>) -> String {
+    let parts: Vec<String> = counts
         .iter()
-        .map(|(end, count)| format!("{count} x {end}"))
-        .collect::<Vec<String>>()
-        .join(", ")
+        .map(|(what, count)| format!("{count} x {what}"))
+        .collect();
+    parts.join(", ")
 }
--- a/crates/lockusher-router-testbed/src/soak/player.rs
+++ b/crates/lockusher-router-testbed/src/soak/player.rs
@@ -3,31 +3,27 @@
 //! Stands for the platform as well: a process that ends by itself is noted and started anew, one that was told to end is
 //! killed after the grace, and the list shows the stages that searchers have taken.
 
+mod processes;
+mod searchers;
+
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 use super::disturbance::Disturbance;
-use super::schedule::{Closing, ClosingFault, Schedule};
+use super::schedule::Schedule;
 use super::writer::{Order, Writer, Written};
 use super::{CALM_END, SoakError};
 use crate::deployment::mix;
-use crate::engine::{Micros, Stage};
+use crate::engine::Micros;
 use crate::fleet::{ProcessId, Role, Signal};
 use crate::load::{Load, LoadPlan};
 use crate::request::RequestRecord;
 use crate::world::World;
 
-/// How long a killed process stays away.
-const AWAY: Duration = Duration::from_millis(800);
-/// After this a process that has ended by itself, or was told to, is started anew.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
-const FREEZE: Duration = Duration::from_millis(2_500);
 const PARTITION: Duration = Duration::from_secs(3);
 const SLOW: Duration = Duration::from_secs(3);
 const PLATFORM_DOWN: Duration = Duration::from_secs(2);
-/// How long a searcher drains before it is replaced, or gone.
-const DRAIN: Duration = Duration::from_secs(5);
 const BURST: Duration = Duration::from_secs(3);
 /// How many times the usual load comes in a burst, in all.
 const BURST_FACTOR: f64 = 3.0;
@@ -37,15 +33,8 @@
 const FAULTY_REQUESTS: usize = 2;
 /// How long handles lapse at once.
 const LAPSING: Duration = Duration::from_secs(1);
-const LAPSE_PERIOD: Duration = Duration::from_millis(5);
 /// How often the player looks after processes and list.
 const SUPERVISION_PERIOD: Duration = Duration::from_millis(100);
-/// How often it looks whether a process that was told to end has ended.
-const END_LOOK: Duration = Duration::from_millis(50);
-/// The processes of all machines start within this, in any order.
-const START_SPREAD: Duration = Duration::from_millis(300);
-/// Searchers of a service that stay when the others leave for good.
-const SEARCHERS_LEFT: usize = 2;
 
 /// What ends a disturbance, or continues it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -186,65 +175,6 @@
         Ok(())
     }
 
-    /// Starts anew what has ended by itself, and lets the list follow the searchers.
-    fn supervise(&mut self) -> Result<(), SoakError> {
-        for (process, code) in self.world.fleet.take_ended() {
-            let is_expected = self.plan.values().any(
-                |action| matches!(action, Action::AwaitEnd { process: of, .. } if *of == process),
-            );
-            if !is_expected {
-                let at = self.begun.elapsed().as_secs_f64();
-                self.own_ends
-                    .push(format!("{process} ended with {code} at {at:.2} s"));
-                self.plan_in(RESTART_DELAY, Action::Start(process));
-            }
-        }
-        self.world.list_stages();
-        Ok(())
-    }
-
-    /// Takes everything at once and brings it back.
-    fn close(&mut self, closing: Closing) -> Result<ClosingTimes, SoakError> {
-        self.plan.retain(|_, action| !action.concerns_processes());
-        let fault_at = self.world.clock.now();
-        match closing.fault {
-            ClosingFault::KillAll => self.world.fleet.kill_all(),
-            // Silent, then gone: what the machines' peers and clients see of a loss of power.
-            ClosingFault::PowerLost | ClosingFault::DisksLost => {
-                self.world.fleet.signal_all(Signal::Stop);
-            }
-        }
-        let returned = self.begun.elapsed() + closing.down;
-        self.wait_until(returned)?;
-        self.world.fleet.kill_all();
-        if closing.fault == ClosingFault::DisksLost {
-            for core in 0..self.world.fleet.tolerated_losses() {
-                self.world.fleet.lose_disk(core)?;
-            }
-        }
-        if let Some(span) = closing.ports_occupied {
-            self.occupied_ports = self.world.fleet.occupy_agent_ports()?;
-            self.plan_in(span, Action::ReleasePorts);
-        }
-        let returned_at = self.world.clock.now();
-        self.start_all();
-        Ok(ClosingTimes {
-            fault_at,
-            returned_at,
-        })
-    }
-
-    /// Starts every process within the spread, the order by the number of the actions so far.
-    fn start_all(&mut self) {
-        let mut processes = self.world.fleet.all_processes();
-        let turn = self.planned as usize % processes.len().max(1);
-        processes.rotate_left(turn);
-        let count = processes.len().max(1) as u32;
-        for (number, process) in processes.into_iter().enumerate() {
-            self.plan_in(START_SPREAD * number as u32 / count, Action::Start(process));
-        }
-    }
-
     fn act(&mut self, action: Action) -> Result<(), SoakError> {
         match action {
             Action::Begin(disturbance) => self.begin(disturbance)?,
@@ -341,130 +271,6 @@
         Ok(())
     }
 
-    fn processes_of(&self, role: Role) -> std::vec::IntoIter<ProcessId> {
-        let all = self.world.fleet.all_processes();
-        let of_role: Vec<ProcessId> = all.into_iter().filter(|one| one.role == role).collect();
-        of_role.into_iter()
-    }
-
-    fn kill(&mut self, process: ProcessId) {
-        self.world.fleet.kill(process.role, process.machine);
-        self.plan_in(AWAY, Action::Start(process));
-    }
-
-    fn freeze(&mut self, process: ProcessId) {
-        self.world
-            .fleet
-            .signal(process.role, process.machine, Signal::Stop);
-        self.plan_in(FREEZE, Action::Wake(process));
-    }
-
-    fn lose_disk(&mut self, number: usize) -> Result<(), SoakError> {
-        let machine = self.machine(Role::Control, number);
-        self.kill(ProcessId {
-            role: Role::Control,
-            machine,
-        });
-        self.world.fleet.lose_disk(machine)?;
-        Ok(())
-    }
-
-    /// Tells a process to end; those after it follow in turn.
-    fn roll(&mut self, process: ProcessId) {
-        self.terminate(process, true);
-    }
-
-    fn terminate(&mut self, process: ProcessId, rolls: bool) {
-        self.world
-            .fleet
-            .signal(process.role, process.machine, Signal::Terminate);
-        let kill_at = self.begun.elapsed() + self.grace;
-        self.plan_in(
-            END_LOOK,
-            Action::AwaitEnd {
-                process,
-                kill_at,
-                rolls,
-            },
-        );
-    }
-
-    fn await_end(&mut self, process: ProcessId, kill_at: Duration, rolls: bool) {
-        let is_running = self.world.fleet.is_running(process);
-        if is_running && self.begun.elapsed() < kill_at {
-            let look_again = Action::AwaitEnd {
-                process,
-                kill_at,
-                rolls,
-            };
-            self.plan_in(END_LOOK, look_again);
-            return;
-        }
-        self.world.fleet.kill(process.role, process.machine);
-        self.plan_in(RESTART_DELAY, Action::Start(process));
-        let machine = process.machine + 1;
-        if rolls && machine < self.machines(process.role) {
-            self.roll(ProcessId { machine, ..process });
-        }
-    }
-
-    /// Shows a searcher as draining; a new incarnation takes its place later.
-    fn release(&mut self, position: usize) {
-        let model = &self.world.models[position];
-        model.drain();
-        self.world.platform.drain(&model.identity().instance);
-        self.plan_in(DRAIN, Action::ReplaceModel(position));
-    }
-
-    /// Decode searchers leave for good, one after the other, while more searchers than are to stay are there.
-    fn retire_decode_searchers(&mut self) {
-        let leaving = |instance: &String| self.leaving.values().any(|other| other == instance);
-        let staying: Vec<(String, Stage)> = self
-            .world
-            .models
-            .iter()
-            .map(|model| (model.identity().instance.clone(), model.report().stage))
-            .filter(|(instance, _)| !leaving(instance))
-            .collect();
-        let may_leave = staying.len().saturating_sub(SEARCHERS_LEFT);
-        let decoding = staying
-            .into_iter()
-            .filter(|(_, stage)| *stage == Stage::Decode)
-            .take(may_leave);
-        for (instance, _) in decoding.collect::<Vec<_>>() {
-            self.world.drain_model(&instance);
-            let number = self.planned;
-            self.leaving.insert(number, instance);
-            self.plan_in(DRAIN, Action::RemoveModel(number));
-        }
-    }
-
-    fn remove_model(&mut self, number: u64) {
-        if let Some(instance) = self.leaving.remove(&number) {
-            self.world.remove_model(&instance);
-        }
-    }
-
-    fn set_speed(&mut self, searcher: usize, factor: u64) {
-        let searcher = self.model(searcher);
-        self.world.models[searcher].set_slow_down(factor);
-    }
-
-    fn set_link_slow_down(&mut self, factor: u64) {
-        for model in &self.world.models {
-            model.set_link_slow_down(factor);
-        }
-    }
-
-    fn lapse(&mut self, until: Duration) {
-        for model in &self.world.models {
-            model.lapse_all_handles();
-        }
-        if self.begun.elapsed() < until {
-            self.plan_in(LAPSE_PERIOD, Action::Lapse { until });
-        }
-    }
-
     fn burst(&mut self) {
         let rate = self.rate_per_second * (BURST_FACTOR - 1.0);
         let plan = LoadPlan {
@@ -476,19 +282,4 @@
         };
         self.bursts.push(self.world.load(&plan));
     }
-
-    fn machines(&self, role: Role) -> usize {
-        match role {
-            Role::Control => self.world.fleet.control_nodes(),
-            Role::Agent | Role::Proxy => self.world.fleet.mixers().len(),
-        }
-    }
-
-    fn machine(&self, role: Role, number: usize) -> usize {
-        number % self.machines(role)
-    }
-
-    fn model(&self, number: usize) -> usize {
-        number % self.world.models.len()
-    }
 }
