A process that waits for its addresses ends when it is told to

Cause: since an address in use is waited for, and SIGTERM had no effect meanwhile until the grace was over. Change: agent, control node and proxy open their sockets unless they are stopped first; the agent's sockets are opened in one step.

--- a/crates/lockusher-agent/src/serve.rs
+++ b/crates/lockusher-agent/src/serve.rs
@@ -15,6 +15,7 @@
 use futures_util::pin_mut;
 use lockusher_config::settings::{EdgeControl, NodeSettings};
 use lockusher_distribution::serve::{self, SharedPublisher};
+use lockusher_transport::tcp::unless_stopped;
 
 use crate::addresses::InternalPorts;
 use crate::error::AgentError;
@@ -32,15 +33,17 @@
 /// If the settings name too few internal ports, or an address can't be bound.
 pub async fn run(settings: NodeSettings, stop: impl Future<Output = ()>) -> Result<(), AgentError> {
     let ports = InternalPorts::of(&settings).map_err(AgentError::Ports)?;
-    let proxy_listener = listen(ports.proxy_listener()).await?;
-    log::info!(
-        "agent {}: proxies are served at {}",
-        settings.node,
-        ports.proxy_listener()
-    );
-    let agent = Rc::new(AgentState::create(settings, ports).await?);
-    let peer_listener = listen(ports.peer_address(&agent.settings)).await?;
-    let _redirecting = start_redirecting(&agent).await?;
+    pin_mut!(stop);
+    let Some(opened) = unless_stopped(open(settings, ports), stop.as_mut()).await else {
+        return Ok(());
+    };
+    let Opened {
+        agent,
+        proxy_listener,
+        peer_listener,
+        operator_listener,
+    } = opened?;
+    let _redirecting = operator_listener.map(|listener| start_redirecting(&agent, listener));
     let _closing = CloseOnDrop(Rc::clone(&agent.publisher));
     let _tasks = [
         spawn(Rc::clone(&agent.subscriber).run()),
@@ -52,7 +55,7 @@
         spawn(gossip_tasks::fetch_from_peers(Rc::clone(&agent))),
     ];
     let forwarding = forward_changes(&agent);
-    pin_mut!(forwarding, stop);
+    pin_mut!(forwarding);
     match select(forwarding, stop).await {
         Either::Left((never, _)) => match never {},
         Either::Right(((), _)) => Ok(()),
@@ -77,22 +80,44 @@
     }
 }
 
-/// Redirects operators if a machine without a control node has an operators' address.
-async fn start_redirecting(agent: &AgentState) -> Result<Option<JoinHandle<()>>, AgentError> {
+/// An agent with its sockets; no task runs yet.
+struct Opened {
+    agent: Rc<AgentState>,
+    proxy_listener: TcpListener,
+    peer_listener: TcpListener,
+    /// Present if operators may call a machine without a control node.
+    operator_listener: Option<TcpListener>,
+}
+
+/// Opens the agent's sockets; addresses that are in use are waited for.
+async fn open(settings: NodeSettings, ports: InternalPorts) -> Result<Opened, AgentError> {
+    let proxy_listener = listen(ports.proxy_listener()).await?;
+    log::info!(
+        "agent {}: proxies are served at {}",
+        settings.node,
+        ports.proxy_listener()
+    );
+    let agent = Rc::new(AgentState::create(settings, ports).await?);
     let settings = &agent.settings;
-    let Some(address) = settings
-        .control
-        .filter(|_| settings.edge_control() == EdgeControl::Redirect)
-    else {
-        return Ok(None);
+    let redirects = settings.edge_control() == EdgeControl::Redirect;
+    let peer_listener = listen(ports.peer_address(settings)).await?;
+    let operator_listener = match settings.control.filter(|_| redirects) {
+        Some(address) => Some(listen(address).await?),
+        None => None,
     };
-    let listener = listen(address).await?;
+    Ok(Opened {
+        agent,
+        proxy_listener,
+        peer_listener,
+        operator_listener,
+    })
+}
+
+/// Redirects operators to a control node.
+fn start_redirecting(agent: &AgentState, listener: TcpListener) -> JoinHandle<()> {
     let subscriber = Rc::clone(&agent.subscriber);
-    Ok(Some(spawn(redirect::serve(
-        listener,
-        subscriber,
-        address.port(),
-    ))))
+    let operator_port = agent.settings.control.map_or(0, |address| address.port());
+    spawn(redirect::serve(listener, subscriber, operator_port))
 }
 
 async fn listen(address: SocketAddrV4) -> Result<TcpListener, AgentError> {
--- a/crates/lockusher-agent/tests/loopback.rs
+++ b/crates/lockusher-agent/tests/loopback.rs
@@ -234,3 +234,17 @@
         "settings: internalPorts: expected 3 ports at least"
     );
 }
+
+/// The address is in use for as long as the test lasts.
+#[compio::test]
+async fn an_agent_that_waits_for_its_address_can_be_told_to_end() {
+    let ports = free_ports().await;
+    let platform = Platform::start().await;
+    let own = SocketAddrV4::new(Ipv4Addr::LOCALHOST, ports.subscriptions());
+    let _taken = ControlNode::start(own).await;
+
+    let run = serve::run(settings(ports, platform.address), std::future::ready(()));
+
+    let ended = timeout(LIMIT, run).await.expect("it ends at once");
+    ended.expect("an end in order");
+}
--- a/crates/lockusher-control/src/serve.rs
+++ b/crates/lockusher-control/src/serve.rs
@@ -15,6 +15,7 @@
 use compio::runtime::{JoinHandle, spawn};
 use compio::time::sleep;
 use derive_more::{Display, Error, From};
+use futures_util::pin_mut;
 use lockusher_config::settings::{InternalListener, NodeSettings, TooFewPorts};
 use lockusher_config::settings_file::SeedFile;
 use lockusher_distribution::publisher::Publisher;
@@ -93,7 +94,11 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), ControlError> {
     let resources = Resources::named_by(&settings)?;
-    let listeners = Listeners::bind(&resources).await?;
+    pin_mut!(stop);
+    let bound = tcp::unless_stopped(Listeners::bind(&resources), stop.as_mut()).await;
+    let Some(listeners) = bound.transpose()? else {
+        return Ok(());
+    };
     let disk_bytes = settings.limits.disk_mb * BYTES_PER_MB;
     let OpenedDisk {
         disk,
--- a/crates/lockusher-proxy/src/serve.rs
+++ b/crates/lockusher-proxy/src/serve.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::{Stream, StreamExt};
+use futures_util::{Stream, StreamExt, pin_mut};
 use lockusher_config::settings::NodeSettings;
 use lockusher_distribution::load::ServiceLoad;
 use lockusher_distribution::subscribe::FeedUpdate;
 use lockusher_transport::recurrence::{Recurrence, RecurrenceLog};
+use lockusher_transport::tcp::unless_stopped;
 
 use crate::client::listener::{accept_clients, listen, sweep};
 use crate::client::registry::ClientRegistry;
@@ -71,8 +72,12 @@
     let readiness = settings
         .readiness
         .ok_or(ProxyError::MissingAddress { name: "readiness" })?;
-    let front = listen(front).await?;
-    let readiness = listen(readiness).await?;
+    pin_mut!(stop);
+    let open = async { Ok::<_, ProxyError>((listen(front).await?, listen(readiness).await?)) };
+    let opened = unless_stopped(open, stop.as_mut()).await;
+    let Some((front, readiness)) = opened.transpose()? else {
+        return Ok(());
+    };
     let shared = ProxyState::new(&settings, rand::random());
     let clients = Rc::new(ClientRegistry::default());
     // Tasks end when their handles are dropped.
--- a/crates/lockusher-transport/src/tcp.rs
+++ b/crates/lockusher-transport/src/tcp.rs
@@ -1,11 +1,14 @@
 //! TCP connections with the options that every connection of the fleet needs.
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddrV4;
+use std::pin::{Pin, pin};
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
 use compio::time::{sleep, timeout};
+use futures_util::future::{Either, select};
 use socket2::SockRef;
 
 use crate::clock::Clock;
@@ -83,6 +86,17 @@
     }
 }
 
+/// What `open` brings, or nothing if `stop` is ready first: a process that waits for its addresses can be told to end.
+pub async fn unless_stopped<T>(
+    open: impl Future<Output = T>,
+    stop: Pin<&mut impl Future<Output = ()>>,
+) -> Option<T> {
+    match select(pin!(open), stop).await {
+        Either::Left((opened, _)) => Some(opened),
+        Either::Right(((), _)) => None,
+    }
+}
+
 /// Lets the connection be reset when it is closed: bytes that haven't reached the peer by then never do.
 ///
 /// # Errors
