Review, case 1 without tuned moments: lines of clients, seven SIGTERMs at any time

Cause: the first form failed only where six answers had begun just before the proxy looked for requests in flight; begun at six other moments it held. Change: answers on clients' lines of 1 Mbit/s, drawn pauses, SIGTERM at fixed times; the stand-ins' processes end with the script, and its folder is removed.

--- a/review/standins/case1.rs
+++ b/review/standins/case1.rs
@@ -18,19 +18,21 @@
 const SEARCHERS: usize = 3;
 /// Of each edge machine, as in `limits.linkMbps`.
 const LINK_MBPS: u32 = 10;
-/// The answers' lengths differ: this is the longest, the shortest half of it.
-const ANSWER_BYTES: usize = 224 * 1024;
+/// The answers' lengths differ: this is the longest; there are others down to 118 KB.
+const ANSWER_BYTES: usize = 148 * 1024;
 const LENGTHS: usize = 16;
-/// Six clients fetch six extracts at a time from their mixer, three groups of them in turn: 3 requests a second and
-/// mixer, of the 7.6 that its link carries.
-const CLIENTS: usize = EDGES * GROUPS * 6;
-const GROUPS: usize = 3;
-const CLIENT_PERIOD: Duration = Duration::from_secs(6);
+/// Clients with an edge machine as their nearest one: 36 each, on lines of 1 Mbit/s. Some 6 at a time fetch an answer, so that
+/// six tenths of the machine's link are in use.
+const CLIENTS: usize = 36 * EDGES;
+const LINE_MBPS: u32 = 1;
+/// A client's pauses between an answer and its next request are drawn: exponential with this mean, but at most twice as
+/// long (12 s, four fifths of `idleTimeoutMs`, so that a kept connection may be used).
+const PAUSE_S: f64 = 6.0;
 const DEADLINE_MS: u128 = 5_000;
 const GRACE_S: f64 = 8.0;
-const LOAD_S: f64 = 62.0;
-/// SIGTERM to the mixers in turn.
-const TERMS: [(f64, usize); 4] = [(9.1, 0), (22.1, 1), (35.1, 0), (48.1, 1)];
+const LOAD_S: f64 = 92.0;
+/// SIGTERM to the mixers in turn, at times that aren't tuned to the requests, which are drawn.
+const TERMS: [(f64, usize); 7] = [(6.0, 0), (19.0, 1), (32.0, 0), (45.0, 1), (58.0, 0), (71.0, 1), (84.0, 0)];
 
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
@@ -98,14 +100,14 @@
     record.line("the mixers are ready");
     let fleet = Arc::new(fleet);
     let ready = watch_readiness(&fleet, record);
-    let links: Vec<Arc<Link>> = (0..EDGES).map(|_| Arc::new(Link::default())).collect();
+    let links: Vec<Arc<Link>> = (0..EDGES).map(|_| Arc::new(Link::new(LINK_MBPS))).collect();
     let stop = Arc::new(AtomicBool::new(false));
-    let (begin, load_begin) = (record.seconds(), Instant::now());
+    let begin = record.seconds();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let (fleet, record, requests) = (fleet.clone(), record.clone(), requests.clone());
             let (ready, links, stop) = (ready.clone(), links.clone(), stop.clone());
-            std::thread::spawn(move || client(number, load_begin, &fleet, &record, &requests, &ready, &links, &stop))
+            std::thread::spawn(move || client(number, &fleet, &record, &requests, &ready, &links, &stop))
         })
         .collect();
 
@@ -136,6 +138,7 @@
     let crashed = nodes.iter_mut().any(lib::Node::has_ended);
     drop(proxies);
     drop(nodes);
+    lib::remove_folder(&fleet.folder);
     if crashed {
         return Err(std::io::Error::other("a process of the control plane ended by itself"));
     }
@@ -220,7 +223,7 @@
 /// The length of the answer to a request.
 fn length_of(id: &str) -> usize {
     let number = u64::from_str_radix(id, 16).unwrap_or(0) as usize;
-    ANSWER_BYTES - ANSWER_BYTES / 2 / LENGTHS * (number * 7 % LENGTHS)
+    ANSWER_BYTES - 2 * 1024 * (number * 7 % LENGTHS)
 }
 
 /// The platform's readiness checks, once a second; a mixer is out after two misses in a row.
@@ -244,15 +247,19 @@
     ready
 }
 
-/// The link of an edge machine towards clients: `LINK_MBPS`, shared by its connections.
-#[derive(Default)]
+/// A link: of an edge machine towards clients, shared by its connections, or a client's line.
 struct Link {
+    mbps: u32,
     free_at: Mutex<Option<Instant>>,
 }
 
 impl Link {
+    fn new(mbps: u32) -> Link {
+        Link { mbps, free_at: Mutex::new(None) }
+    }
+
     fn carry(&self, bytes: usize) {
-        let time = Duration::from_secs_f64(bytes as f64 * 8.0 / (f64::from(LINK_MBPS) * 1e6));
+        let time = Duration::from_secs_f64(bytes as f64 * 8.0 / (f64::from(self.mbps) * 1e6));
         let mut free_at = self.free_at.lock().unwrap();
         let now = Instant::now();
         let end = free_at.map_or(now, |free_at| free_at.max(now)) + time;
@@ -276,8 +283,10 @@
     let (mut mixer, mut far) = (mixer, far);
     let down = std::thread::spawn(move || {
         let mut packet = [0; 1_460];
+        let line = Link::new(LINE_MBPS);
         while let Ok(read @ 1..) = mixer.read(&mut packet) {
             link.carry(read);
+            line.carry(read);
             if far.write_all(&packet[..read]).is_err() {
                 break;
             }
@@ -289,10 +298,8 @@
 }
 
 /// A sound client: it keeps its connection, sends one request after another and reads answers as they come.
-#[allow(clippy::too_many_arguments)]
 fn client(
     number: usize,
-    begin: Instant,
     fleet: &Fleet,
     record: &Record,
     requests: &Requests,
@@ -300,13 +307,15 @@
     links: &[Arc<Link>],
     stop: &AtomicBool,
 ) {
-    let (home, group) = (number % EDGES, number / EDGES % GROUPS);
-    let slot = group * EDGES + home;
-    let start = begin + CLIENT_PERIOD * slot as u32 / (GROUPS * EDGES) as u32;
+    let home = number % EDGES;
+    let mut seed = (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let mut connection: Option<(usize, Wire)> = None;
-    for turn in 0.. {
-        let due = start + CLIENT_PERIOD * turn;
-        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+    loop {
+        seed ^= seed << 13;
+        seed ^= seed >> 7;
+        seed ^= seed << 17;
+        let drawn = ((seed >> 11) + 1) as f64 / (1u64 << 53) as f64;
+        std::thread::sleep(Duration::from_secs_f64((-drawn.ln()).min(2.0) * PAUSE_S));
         if stop.load(Ordering::SeqCst) {
             return;
         }
--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -4,7 +4,8 @@
 use std::collections::HashMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,8 +14,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// `PR_SET_PDEATHSIG`: the signal that a process gets when its parent ends.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const SIGSTOP: i32 = 19;
@@ -380,7 +385,15 @@
         let settings = self.folder.join(format!("{name}.conf"));
         fs::write(&settings, self.settings(role, machine, first))?;
         let log = OpenOptions::new().create(true).append(true).open(self.folder.join(format!("{name}.log")))?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        // The processes end with this one, also if it is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(SET_PARENT_DEATH_SIGNAL, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command
             .arg(role)
             .env_clear()
             .env("LOCKUSHER_NODE_FILE", &settings)
@@ -434,9 +447,14 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if std::env::var_os("KEEP").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+        remove_folder(&self.folder);
+    }
+}
+
+/// Removes a fleet's folder, with settings, logs and disks, unless `KEEP` is set.
+pub fn remove_folder(folder: &Path) {
+    if std::env::var_os("KEEP").is_none() {
+        let _ = fs::remove_dir_all(folder);
     }
 }
 
@@ -446,10 +464,6 @@
     format!("{:016x}", u64::from(std::process::id()) << 32 | NEXT.fetch_add(1, Ordering::SeqCst))
 }
 
-pub fn is_loopback(address: SocketAddr) -> bool {
-    matches!(address.ip(), IpAddr::V4(ip) if ip.is_loopback())
-}
-
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
