Proxy: a stopped proxy ends each client connection between two requests

Cause: idle connections were closed once, 3 s after SIGTERM, by dropping their tasks. A connection whose stream ended later stayed open, its response had no "Connection: close" as its head was older than the signal, and the next request was forwarded whatever was left of graceS.

Change: connections of a server are tracked in lockusher-transport (`server`, moved from the proxy's `client` modules): a connection is closed by ending its input once its response is written to the kernel and nothing more can be read, then it lingers. From 3 s after SIGTERM on each connection ends so after its response; the accept queue is served first; a late request is forwarded only if its deadline comes before the end (`DrainSchedule`), else refused with `Retry-After: 0`; at the end requests in progress are answered 503 or 504; the process waits for connections, not for a count of requests.

Package tests of lockusher-transport (3 runs) and lockusher-proxy: pass.

--- a/crates/lockusher-proxy/src/attempts.rs
+++ b/crates/lockusher-proxy/src/attempts.rs
@@ -10,7 +10,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compio::time::Sleep;
 use derive_more::From;
 use http_body_util::Full;
 use hyper::Request;
@@ -24,7 +23,7 @@
 use crate::proxy_state::{ProxyState, SendGuard};
 use crate::request::ClientRequest;
 use crate::response_check::may_be_forwarded;
-use crate::timer::run_until;
+use crate::timer::{RequestTimer, run_until};
 use crate::unserved::UnservedReason;
 use crate::upstream::exchange::{Destination, Exchange, SendFailure, exchange};
 
@@ -70,7 +69,7 @@
     request: ClientRequest,
     pub(crate) policy: AttemptPolicy,
     deadlines: Deadlines,
-    timer: Sleep,
+    timer: RequestTimer,
     plan: RequestPlan,
     /// Whether a send may have run the request.
     may_have_run: bool,
@@ -93,12 +92,13 @@
         deadlines: Deadlines,
         plan: RequestPlan,
     ) -> Self {
+        let timer = RequestTimer::until(deadlines.response_head, shared.clients.clone());
         RequestAttempts {
             shared,
             request,
             policy,
             deadlines,
-            timer: compio::time::sleep_until(deadlines.response_head),
+            timer,
             plan,
             may_have_run: false,
             handle: None,
@@ -122,13 +122,14 @@
         &self.request
     }
 
-    pub(crate) fn timer(&mut self) -> &mut Sleep {
+    pub(crate) fn timer(&mut self) -> &mut RequestTimer {
         &mut self.timer
     }
 
     /// Extends the deadline to the client's own, once the head of a response has been accepted.
     pub(crate) fn extend_to_client_deadline(&mut self) {
-        self.timer = compio::time::sleep_until(self.deadlines.response_end);
+        let clients = self.shared.clients.clone();
+        self.timer = RequestTimer::until(self.deadlines.response_end, clients);
     }
 
     /// Makes the next send resume a broken stream after the last event that was forwarded to the client.
@@ -190,8 +191,11 @@
         RequestFailure::TimedOut
     }
 
-    /// Time until the deadline for the head of a response.
+    /// Time until the deadline for the head of a response; zero once requests are cut.
     fn remaining(&self) -> Duration {
+        if self.shared.clients.are_requests_cut() {
+            return Duration::ZERO;
+        }
         self.deadlines
             .response_head
             .saturating_duration_since(Instant::now())
--- a/crates/lockusher-proxy/src/attempts/kv_transfer.rs
+++ b/crates/lockusher-proxy/src/attempts/kv_transfer.rs
@@ -3,7 +3,7 @@
 //!
 //! Invariant: a request has at most one handle; a handle whose KV cache was not transferred is released when dropped.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::header::HeaderValue;
 
@@ -12,6 +12,7 @@
 use crate::decision::{Purpose, SendOutcome};
 use crate::headers;
 use crate::prefill::{PrefillFailure, prefill};
+use crate::timer::{DeadlineExceeded, RequestTimer, run_until};
 use crate::upstream::exchange::SendFailure;
 
 /// The maximum number of prefill calls for one request, whatever the retry budget allows.
@@ -45,9 +46,10 @@
             request
                 .headers_mut()
                 .insert(headers::STAGE, HeaderValue::from_static("prefill"));
-            let call =
-                compio::time::timeout(timeout, prefill(&self.shared, &prefill_searcher, request));
-            match call.await {
+            let clients = self.shared.clients.clone();
+            let mut timer = RequestTimer::until(Instant::now() + timeout, clients);
+            let call = prefill(&self.shared, &prefill_searcher, request);
+            match run_until(&mut timer, call).await {
                 Ok(Ok(handle)) => {
                     send.finish(SendOutcome::Answered);
                     self.handle = Some(handle);
@@ -58,7 +60,7 @@
                     return;
                 }
                 Ok(Err(PrefillFailure::Send(failure))) => send.finish(failure.outcome()),
-                Err(_) => send.finish(SendOutcome::TimedOut),
+                Err(DeadlineExceeded) => send.finish(SendOutcome::TimedOut),
             }
         }
     }
--- a/crates/lockusher-proxy/src/client/mod.rs
+++ b/crates/lockusher-proxy/src/client/mod.rs
@@ -2,5 +2,3 @@
 
 pub(crate) mod connection;
 pub(crate) mod listener;
-pub(crate) mod registry;
-mod stream;
--- a/crates/lockusher-proxy/src/forward.rs
+++ b/crates/lockusher-proxy/src/forward.rs
@@ -10,6 +10,7 @@
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use lockusher_config::configuration::{Configuration, Route};
+use lockusher_transport::server::RequestInProgress;
 
 use crate::attempt_policy::AttemptPolicy;
 use crate::attempts::{AcceptedResponse, RequestAttempts, RequestFailure};
@@ -29,17 +30,32 @@
 /// reaches the client.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 64 * 1_024;
 
+/// `Retry-After` if this proxy shuts down: another one can serve the request at once.
+const SHUTDOWN_RETRY_MS: u64 = 0;
+
 /// Forwards a client's request and returns the response to it.
-pub(crate) async fn forward(shared: &Rc<ProxyState>, request: Request<Incoming>) -> ClientResponse {
+///
+/// Runs in the task of the client's connection, on which the request is `in_progress`.
+pub(crate) async fn forward(
+    shared: &Rc<ProxyState>,
+    in_progress: &RequestInProgress,
+    request: Request<Incoming>,
+) -> ClientResponse {
     let Some(routes) = shared.routes() else {
         shared.record_unserved("", UnservedReason::NoConfiguration);
         return response::closing(response::refusal_without_estimate());
     };
     let limit = routes.configuration().limits.body_bytes;
-    let request = match ClientRequest::read(request, limit, &shared.body_memory).await {
-        Ok(request) => request,
-        Err(error) => return reject(error),
+    let reading = ClientRequest::read(request, limit, &shared.body_memory);
+    let request = match shared.clients.unless_cut(reading).await {
+        Some(Ok(request)) => request,
+        Some(Err(error)) => return reject(error),
+        None => {
+            shared.record_unserved("", UnservedReason::ShuttingDown);
+            return response::refusal(SHUTDOWN_RETRY_MS);
+        }
     };
+    in_progress.received();
     // The configuration may have changed while the body arrived.
     let Some(routes) = shared.routes() else {
         shared.record_unserved("", UnservedReason::NoConfiguration);
@@ -51,6 +67,10 @@
     let timeout = Duration::from_millis(route.timeout_ms);
     let deadlines = Deadlines::new(request.arrived, request.deadline_remaining, timeout);
     let service = shared.choose_service(route);
+    if !shared.may_forward(deadlines.response_end) {
+        shared.record_unserved(service, UnservedReason::ShuttingDown);
+        return response::refusal(SHUTDOWN_RETRY_MS);
+    }
     let attributes = request_attributes(&request, route, service, deadlines.response_head);
     let admission = shared
         .router
--- a/crates/lockusher-proxy/src/lib.rs
+++ b/crates/lockusher-proxy/src/lib.rs
@@ -6,6 +6,7 @@
 //! without a clock. A proxy runs on one thread; its tasks share one `ProxyState`.
 
 pub mod decision;
+pub mod drain;
 pub mod serve;
 pub mod traffic_split;
 pub mod unserved;
--- a/crates/lockusher-proxy/src/proxy_state.rs
+++ b/crates/lockusher-proxy/src/proxy_state.rs
@@ -3,17 +3,20 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Instant;
 
 use lockusher_config::configuration::Route;
 use lockusher_config::route_table::RouteTable;
 use lockusher_config::settings::NodeSettings;
 use lockusher_distribution::subscribe::FeedUpdate;
 use lockusher_transport::clock::Clock;
+use lockusher_transport::server::ConnectionRegistry;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::decision::{RequestRouter, RequestRouterSettings, SendOutcome, SendTicket};
 use crate::descriptors::Descriptors;
+use crate::drain::DrainSchedule;
 use crate::handle_reuse::HandleReuse;
 use crate::memory::BodyMemory;
 use crate::traffic_split::TrafficSplits;
@@ -35,17 +38,23 @@
     pub(crate) router: RefCell<RequestRouter>,
     pub(crate) pool: Pool,
     pub(crate) descriptors: Rc<Descriptors>,
+    pub(crate) clients: Rc<ConnectionRegistry>,
     pub(crate) body_memory: Rc<BodyMemory>,
     pub(crate) handle_reuse: HandleReuse,
     routes: RefCell<Option<Rc<RouteTable>>>,
     traffic_splits: RefCell<TrafficSplits>,
     has_instances: Cell<bool>,
-    draining: Cell<bool>,
-    requests_in_flight: Cell<u64>,
-    requests_accepted: Cell<u64>,
+    drain: Cell<Option<Drain>>,
     unserved: RefCell<UnservedSummary>,
 }
 
+/// A shutdown in progress.
+#[derive(Clone, Copy, Debug)]
+struct Drain {
+    schedule: DrainSchedule,
+    started: Instant,
+}
+
 impl ProxyState {
     pub(crate) fn new(settings: &NodeSettings, seed: u64) -> Rc<Self> {
         let limit = settings
@@ -63,6 +72,7 @@
             )),
             pool: Pool::new(descriptors.clone()),
             descriptors,
+            clients: Rc::default(),
             body_memory: BodyMemory::new(body_bytes),
             handle_reuse: HandleReuse::default(),
             routes: RefCell::new(None),
@@ -70,9 +80,7 @@
                 ChaCha8Rng::seed_from_u64(seed).random(),
             )),
             has_instances: Cell::new(false),
-            draining: Cell::new(false),
-            requests_in_flight: Cell::new(0),
-            requests_accepted: Cell::new(0),
+            drain: Cell::new(None),
             unserved: RefCell::default(),
         })
     }
@@ -109,7 +117,7 @@
 
     /// Whether this proxy is ready to serve clients.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.draining.get() && self.has_instances.get() && self.routes.borrow().is_some()
+        !self.is_draining() && self.has_instances.get() && self.routes.borrow().is_some()
     }
 
     /// The data that this proxy still needs to be ready, as named in log lines; `None` if it has all of it.
@@ -143,11 +151,22 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.drain.get().is_some()
     }
 
-    pub(crate) fn begin_draining(&self) {
-        self.draining.set(true);
+    /// Begins the shutdown: this proxy isn't ready any more.
+    pub(crate) fn begin_draining(&self, schedule: DrainSchedule, started: Instant) {
+        self.drain.set(Some(Drain { schedule, started }));
+    }
+
+    /// Whether a complete request is forwarded whose response ends at `response_end` at the latest: a proxy that shuts
+    /// down may end before that.
+    pub(crate) fn may_forward(&self, response_end: Instant) -> bool {
+        let Some(Drain { schedule, started }) = self.drain.get() else {
+            return true;
+        };
+        let since_start = |at: Instant| at.saturating_duration_since(started);
+        schedule.may_forward(since_start(Instant::now()), since_start(response_end))
     }
 
     /// Chooses the service for the next request of a route.
@@ -155,26 +174,6 @@
         self.traffic_splits.borrow_mut().choose(route)
     }
 
-    /// Counts a request as in flight until the guard is dropped, after the last byte of its response.
-    pub(crate) fn start_request(self: &Rc<Self>) -> RequestInFlight {
-        self.requests_in_flight
-            .set(self.requests_in_flight.get() + 1);
-        self.requests_accepted.set(self.requests_accepted.get() + 1);
-        RequestInFlight {
-            shared: self.clone(),
-        }
-    }
-
-    /// Number of requests whose responses are not complete yet.
-    pub(crate) fn requests_in_flight(&self) -> u64 {
-        self.requests_in_flight.get()
-    }
-
-    /// Number of requests accepted since the start.
-    pub(crate) fn requests_accepted(&self) -> u64 {
-        self.requests_accepted.get()
-    }
-
     /// A guard that reports the final outcome of a send exactly once.
     pub(crate) fn guard_send(self: &Rc<Self>, ticket: SendTicket) -> SendGuard {
         SendGuard {
@@ -184,19 +183,6 @@
     }
 }
 
-/// Guard of a request in flight; see [`ProxyState::start_request`].
-#[derive(Debug)]
-pub(crate) struct RequestInFlight {
-    shared: Rc<ProxyState>,
-}
-
-impl Drop for RequestInFlight {
-    fn drop(&mut self) {
-        let count = &self.shared.requests_in_flight;
-        count.set(count.get() - 1);
-    }
-}
-
 /// Reports the final outcome of one send to the router; `Cancelled` if it is dropped without one.
 #[derive(Debug)]
 pub(crate) struct SendGuard {
--- a/crates/lockusher-proxy/src/relay.rs
+++ b/crates/lockusher-proxy/src/relay.rs
@@ -266,7 +266,7 @@
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, SendOutcome>> {
         loop {
             let Poll::Ready(item) = self.poll_body(cx) else {
-                ready!(Pin::new(self.attempts.timer()).poll(cx));
+                ready!(self.attempts.timer().poll_elapsed(cx));
                 return Poll::Ready(Err(SendOutcome::TimedOut));
             };
             match item {
--- a/crates/lockusher-proxy/src/serve.rs
+++ b/crates/lockusher-proxy/src/serve.rs
@@ -4,6 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use compio::net::TcpListener;
+use compio::runtime::JoinHandle;
+use futures_channel::oneshot;
 use futures_util::{Stream, StreamExt, pin_mut};
 use lockusher_config::settings::NodeSettings;
 use lockusher_distribution::load::ServiceLoad;
@@ -12,23 +15,11 @@
 use lockusher_transport::tcp::unless_stopped;
 
 use crate::client::listener::{accept_clients, listen, sweep};
-use crate::client::registry::ClientRegistry;
+use crate::drain::DrainSchedule;
 use crate::error::ProxyError;
 use crate::proxy_state::ProxyState;
 use crate::readiness::serve_readiness;
 
-/// Time within which the platform detects that a proxy is no longer ready.
-const READINESS_DETECTION: Duration = Duration::from_secs(3);
-
-/// The maximum fraction of the grace period that is left to the platform for that detection, in eighths.
-const READINESS_DETECTION_EIGHTHS: u32 = 3;
-
-/// Part of the grace period that is reserved for the exit of the process.
-const SHUTDOWN_RESERVE: Duration = Duration::from_millis(500);
-
-/// Interval at which a draining proxy checks whether requests are in flight.
-const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Interval at which readiness and unserved requests are checked for log lines that are due.
 const STATUS_LOG_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -80,29 +71,20 @@
         return Ok(());
     };
     let shared = ProxyState::new(&settings, rand::random());
-    let clients = Rc::new(ClientRegistry::default());
+    let accepting = Accepting::start(&shared, front);
     // Dropping a task's handle cancels the task.
-    let accepting = compio::runtime::spawn(accept_clients(shared.clone(), clients.clone(), front));
     let _tasks = [
         compio::runtime::spawn(apply_updates(shared.clone(), feed)),
         compio::runtime::spawn(serve_readiness(shared.clone(), readiness)),
-        compio::runtime::spawn(sweep(shared.clone(), clients.clone())),
+        compio::runtime::spawn(sweep(shared.clone())),
         compio::runtime::spawn(report_loads(shared.clone(), report)),
         compio::runtime::spawn(log_status(shared.clone())),
     ];
     stop.await;
-    let grace = Duration::from_millis(settings.bounds.grace_ms);
-    let start = Instant::now();
-    let detection = READINESS_DETECTION.min(grace * READINESS_DETECTION_EIGHTHS / 8);
-    shared.begin_draining();
-    compio::time::sleep(detection).await;
-    drop(accepting);
-    clients.close_idle();
-    drain_requests(
-        &shared,
-        start + grace.saturating_sub(SHUTDOWN_RESERVE).max(detection),
-    )
-    .await;
+    let started = Instant::now();
+    let schedule = DrainSchedule::new(Duration::from_millis(settings.bounds.grace_ms));
+    shared.begin_draining(schedule, started);
+    drain(&shared, schedule, started, accepting).await;
     Ok(())
 }
 
@@ -149,19 +131,59 @@
     }
 }
 
-/// Waits until no request is in flight and none was accepted since the last check, at most until `deadline`.
-async fn drain_requests(shared: &ProxyState, deadline: Instant) {
-    let mut accepted = shared.requests_accepted();
-    while Instant::now() < deadline {
-        compio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        let is_idle = shared.requests_in_flight() == 0 && shared.requests_accepted() == accepted;
-        if is_idle {
-            return;
-        }
-        accepted = shared.requests_accepted();
+/// Serves on as the schedule of the shutdown says, until all client connections have ended or the time is over.
+async fn drain(
+    shared: &ProxyState,
+    schedule: DrainSchedule,
+    started: Instant,
+    accepting: Accepting,
+) {
+    compio::time::sleep_until(started + schedule.stop_reading).await;
+    shared.clients.close_all_when_idle();
+    accepting.finish().await;
+    let ended_by = async |at| {
+        let ended = compio::time::timeout_at(started + at, shared.clients.all_ended());
+        ended.await.is_ok()
+    };
+    if ended_by(schedule.cut_requests).await {
+        return;
     }
     log::warn!(
         "shut down with {} requests in flight",
-        shared.requests_in_flight()
+        shared.clients.requests_in_progress()
     );
+    shared.clients.cut_requests();
+    if !ended_by(schedule.exit).await {
+        log::warn!(
+            "ended before {} responses were written",
+            shared.clients.requests_in_progress()
+        );
+    }
+}
+
+/// The task that accepts clients.
+struct Accepting {
+    task: JoinHandle<()>,
+    stop: oneshot::Sender<()>,
+}
+
+impl Accepting {
+    fn start(shared: &Rc<ProxyState>, listener: TcpListener) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let stopped = async move {
+            // Fails only if the sender is dropped, which also ends the task.
+            let _ = stopped.await;
+        };
+        let task = compio::runtime::spawn(accept_clients(shared.clone(), listener, stopped));
+        Accepting { task, stop }
+    }
+
+    /// Accepts the clients that are connected already, then closes the listener.
+    async fn finish(self) {
+        // The task ends by itself only after the signal.
+        let _ = self.stop.send(());
+        if self.task.await.is_err() {
+            log::error!("the task that accepts clients has failed");
+        }
+    }
 }
--- a/crates/lockusher-proxy/src/unserved.rs
+++ b/crates/lockusher-proxy/src/unserved.rs
@@ -20,6 +20,9 @@
     /// Admission control refused the request: too many requests wait, or its deadline has passed.
     #[display("not-admitted")]
     NotAdmitted,
+    /// This proxy is shutting down and would end before the response.
+    #[display("shutting-down")]
+    ShuttingDown,
     /// No searcher of the stage that the request needs is available.
     #[display("no-searcher")]
     NoSearcher,
--- a/crates/lockusher-transport/src/lib.rs
+++ b/crates/lockusher-transport/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`tcp`] | connections, listeners and their options |
 //! | [`frame`] | length-prefixed messages between the fleet's processes |
 //! | [`http`] | servers and clients of the fleet's own interfaces |
+//! | [`server`] | connections of a server that are closed without losing a request |
 //! | [`clock`] | the monotonic clock of a process |
 //! | [`recurrence`] | rate limit for log lines about a persistent condition |
 //! | [`error`] | the errors of these modules |
@@ -17,4 +18,5 @@
 pub mod frame;
 pub mod http;
 pub mod recurrence;
+pub mod server;
 pub mod tcp;
--- a/crates/lockusher-transport/tests/support/mod.rs
+++ b/crates/lockusher-transport/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! Runtime, connections and servers over loopback for the tests.
+#![allow(dead_code)] // Each test file uses only a part of it.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
