Transport: the servers of operators answer what is in progress when their process is stopped

What callers saw: an operator whose request was arriving, or waited for a majority, when an agent or a control node ended saw its connection reset, though the process had read the request.

Cause: the same order of events as at the proxy: the task that accepts was cancelled, and the detached tasks of the connections ended with the runtime, whatever they owed.

Change: `http::Server::shut_down` ends the connections as a proxy does: those that the kernel holds are accepted first, each ends between two requests, and what is left after a second (at most a quarter of graceS) is answered 503, which tells an operator to ask another machine. Agents do so before they end, control nodes after the hand-over of their duties. The proxy and these servers now share one `Acceptor`.

Measured: the new tests of agent and control fail on (connection reset; no response) and pass here; two more of the server alone. Tests of lockusher-transport, lockusher-agent's and lockusher-control's loopback, and of the proxy's clients: pass.

--- a/crates/lockusher-agent/src/redirect.rs
+++ b/crates/lockusher-agent/src/redirect.rs
@@ -27,17 +27,17 @@
 const TEXT_CONTENT_TYPE: &str = "text/plain; charset=utf-8";
 
 /// Redirects every request to the control node that this agent is connected to. Control nodes serve operators at
-/// `operator_port`. Never returns.
-pub async fn serve(
+/// `operator_port`.
+pub fn start(
     listener: TcpListener,
     subscriber: Rc<SharedSubscriber<ControlNodePolicy>>,
     operator_port: u16,
-) {
+) -> http::Server {
     let handler = move |request| {
         let subscriber = Rc::clone(&subscriber);
         async move { redirect(&subscriber, operator_port, request).await }
     };
-    http::serve(listener, handler).await;
+    http::Server::start(listener, handler)
 }
 
 async fn redirect(
--- a/crates/lockusher-agent/src/serve.rs
+++ b/crates/lockusher-agent/src/serve.rs
@@ -8,13 +8,15 @@
 use std::future::Future;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use compio::net::TcpListener;
-use compio::runtime::{JoinHandle, spawn};
+use compio::runtime::spawn;
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 use lockusher_config::settings::{AgentControlMode, NodeSettings};
 use lockusher_distribution::serve::{self, SharedPublisher};
+use lockusher_transport::http;
 use lockusher_transport::tcp::unless_stopped;
 
 use crate::addresses::InternalPorts;
@@ -26,6 +28,11 @@
 use crate::seed_reload::SeedReload;
 use crate::state::AgentState;
 
+/// Maximum time for operators' requests in progress after the signal to stop.
+const MAX_OPERATOR_DRAIN: Duration = Duration::from_secs(1);
+/// That time is at most `graceMs` divided by this.
+const OPERATOR_DRAIN_DIVISOR: u32 = 4;
+
 /// Runs the agent until `stop` is ready.
 ///
 /// # Errors
@@ -43,7 +50,7 @@
         peer_listener,
         operator_listener,
     } = bound?;
-    let _redirect_task = operator_listener.map(|listener| spawn_redirect(&agent, listener));
+    let redirect = operator_listener.map(|listener| start_redirect(&agent, listener));
     let _close_on_drop = CloseOnDrop(Rc::clone(&agent.publisher));
     let _tasks = [
         spawn(Rc::clone(&agent.subscriber).run()),
@@ -58,8 +65,20 @@
     pin_mut!(forwarding);
     match select(forwarding, stop).await {
         Either::Left((never, _)) => match never {},
-        Either::Right(((), _)) => Ok(()),
+        Either::Right(((), _)) => {}
+    }
+    if let Some(redirect) = redirect {
+        redirect
+            .shut_down(operator_drain_timeout(&agent.settings))
+            .await;
     }
+    Ok(())
+}
+
+/// How long operators' requests in progress may take after the signal to stop.
+fn operator_drain_timeout(settings: &NodeSettings) -> Duration {
+    let grace = Duration::from_millis(settings.bounds.grace_ms);
+    MAX_OPERATOR_DRAIN.min(grace / OPERATOR_DRAIN_DIVISOR)
 }
 
 /// Forwards the state after each change of the subscription and each acknowledgement of the proxy. Never returns.
@@ -113,11 +132,11 @@
     })
 }
 
-/// Spawns the task that redirects operators to a control node.
-fn spawn_redirect(agent: &AgentState, listener: TcpListener) -> JoinHandle<()> {
+/// Starts to redirect operators to a control node.
+fn start_redirect(agent: &AgentState, listener: TcpListener) -> http::Server {
     let subscriber = Rc::clone(&agent.subscriber);
     let operator_port = agent.settings.control.map_or(0, |address| address.port());
-    spawn(redirect::serve(listener, subscriber, operator_port))
+    redirect::start(listener, subscriber, operator_port)
 }
 
 async fn listen(address: SocketAddrV4) -> Result<TcpListener, AgentError> {
--- a/crates/lockusher-agent/tests/loopback.rs
+++ b/crates/lockusher-agent/tests/loopback.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 
+use compio::io::{AsyncReadExt, AsyncWriteExt};
 use compio::time::timeout;
 use hyper::StatusCode;
 use lockusher_agent::peers::configuration_fetch::fetch_configuration;
@@ -250,3 +251,39 @@
     let ended = timeout(TIMEOUT, run).await.expect("the agent ends at once");
     ended.expect("the agent ends without an error");
 }
+
+/// Guards against LOST: an operator's request was cut when the agent was stopped.
+#[compio::test]
+async fn an_agent_that_is_stopped_answers_the_operator_whose_request_is_arriving() {
+    let ports = free_ports().await;
+    let platform = Platform::start().await;
+    let mut settings = settings(ports, platform.address);
+    let own_operator_address = operator_address(ports, 2);
+    settings.control = Some(own_operator_address);
+    let (stop, stopped) = futures_channel::oneshot::channel::<()>();
+    // On a runtime of its own, with which all of its connections end.
+    let agent = std::thread::spawn(move || {
+        let runtime = compio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(serve::run(settings, async { stopped.await.unwrap_or(()) }))
+    });
+    let connect = async {
+        loop {
+            let connected = lockusher_transport::tcp::connect(own_operator_address, TIMEOUT);
+            if let Ok(stream) = connected.await {
+                return stream;
+            }
+        }
+    };
+    let mut operator = timeout(TIMEOUT, connect).await.expect("the agent listens");
+    let text = "PUT /api/configuration HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nha";
+    operator.write_all(text).await.0.expect("the agent reads");
+
+    stop.send(()).expect("the agent runs");
+
+    let (result, response) = operator.read_to_end(Vec::new()).await.into();
+    result.expect("closed, not reset");
+    let response = String::from_utf8(response).expect("text");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    let ended = agent.join().expect("no panic");
+    ended.expect("the agent ends without an error");
+}
--- a/crates/lockusher-agent/tests/support/edge.rs
+++ b/crates/lockusher-agent/tests/support/edge.rs
@@ -82,7 +82,7 @@
     pub address: SocketAddrV4,
     pub identifiers: Rc<RefCell<Vec<&'static str>>>,
     pub calls: Rc<Cell<u32>>,
-    _serving: JoinHandle<()>,
+    _server: lockusher_transport::http::Server,
 }
 
 impl Platform {
@@ -101,12 +101,12 @@
             let body = page(&listed.borrow(), request.uri().query());
             async move { lockusher_transport::http::answer(StatusCode::OK, "application/json", body) }
         };
-        let _serving = compio::runtime::spawn(lockusher_transport::http::serve(listener, handler));
+        let _server = lockusher_transport::http::Server::start(listener, handler);
         Platform {
             address,
             identifiers,
             calls,
-            _serving,
+            _server,
         }
     }
 }
--- a/crates/lockusher-control/src/serve.rs
+++ b/crates/lockusher-control/src/serve.rs
@@ -40,6 +40,10 @@
 const MIN_HAND_OVER_DURATION: Duration = Duration::from_millis(600);
 /// The node stops waiting for the hand-over after `graceMs` divided by this.
 const HAND_OVER_TIMEOUT_DIVISOR: u32 = 2;
+/// Maximum time for operators' requests in progress after the hand-over.
+const MAX_OPERATOR_DRAIN: Duration = Duration::from_secs(1);
+/// That time is at most `graceMs` divided by this.
+const OPERATOR_DRAIN_DIVISOR: u32 = 4;
 /// Time between two scrubs of the disk.
 const SCRUB_INTERVAL: Duration = Duration::from_secs(600);
 /// Throughput of a link of 1 Mbit/s, in bytes per millisecond.
@@ -108,8 +112,7 @@
     let random_seed = RandomState::new().hash_one(resources.peer_address);
     let driver = start_driver(&settings, &resources, disk, recovered, random_seed);
 
-    let hand_over_timeout =
-        Duration::from_millis(settings.bounds.grace_ms) / HAND_OVER_TIMEOUT_DIVISOR;
+    let grace = Duration::from_millis(settings.bounds.grace_ms);
     let announcement_task = resources.announcement_ports.map(|ports| {
         let seed_file = SeedFile::new(settings.seeds.clone());
         let driver = Rc::clone(&driver);
@@ -126,8 +129,16 @@
     });
     let list_polling =
         instance_list_polling::run(Rc::clone(&driver), list_publisher, settings, random_seed);
+    let operator_driver = Rc::clone(&driver);
+    let handler = move |request| operator_api::handle(Rc::clone(&operator_driver), request);
+    let operator_server = http::Server::start(listeners.operator, handler);
     let _tasks = (
-        spawn_tasks(&driver, completions, listeners),
+        spawn_tasks(
+            &driver,
+            completions,
+            listeners.peers,
+            listeners.subscriptions,
+        ),
         spawn(list_polling),
         announcement_task.map(spawn),
     );
@@ -136,7 +147,10 @@
     // Aborts an order in flight as well, with a reset of its connection.
     drop(stage_assignment_task);
     driver.dispatch(Event::Stop);
-    hand_over(&driver, hand_over_timeout).await;
+    hand_over(&driver, grace / HAND_OVER_TIMEOUT_DIVISOR).await;
+    operator_server
+        .shut_down(MAX_OPERATOR_DRAIN.min(grace / OPERATOR_DRAIN_DIVISOR))
+        .await;
     Ok(())
 }
 
@@ -267,25 +281,20 @@
     half_of_link.clamp(1, MAX_BYTES_PER_MS)
 }
 
-/// Starts the tasks for the replica's disk, clock, peers, subscribers and operator; each is cancelled when its handle
+/// Starts the tasks for the replica's disk, clock, peers and subscribers; each is cancelled when its handle
 /// is dropped.
 fn spawn_tasks(
     driver: &Rc<ReplicaDriver>,
     completions: Completions,
-    listeners: Listeners,
-) -> [JoinHandle<()>; 6] {
-    let operator_driver = Rc::clone(driver);
-    let operator = move |request| operator_api::handle(Rc::clone(&operator_driver), request);
+    peers: TcpListener,
+    subscriptions: TcpListener,
+) -> [JoinHandle<()>; 5] {
     [
         spawn(process_disk_completions(Rc::clone(driver), completions)),
         spawn(tick_periodically(Rc::clone(driver))),
         spawn(scrub_periodically(Rc::clone(driver))),
-        spawn(peer_listener::run(Rc::clone(driver), listeners.peers)),
-        spawn(accept(
-            listeners.subscriptions,
-            Rc::clone(&driver.publisher),
-        )),
-        spawn(http::serve(listeners.operator, operator)),
+        spawn(peer_listener::run(Rc::clone(driver), peers)),
+        spawn(accept(subscriptions, Rc::clone(&driver.publisher))),
     ]
 }
 
--- a/crates/lockusher-control/tests/loopback.rs
+++ b/crates/lockusher-control/tests/loopback.rs
@@ -5,6 +5,8 @@
 #[path = "support/machines.rs"]
 mod machines;
 
+use std::io::{Read, Write};
+
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
 
@@ -229,3 +231,23 @@
         *configuration(1).as_bytes()
     );
 }
+
+/// Guards against LOST: a request in progress was cut when its node ended. This one arrives too slowly to be finished.
+#[compio::test]
+async fn a_node_that_is_stopped_answers_the_request_that_is_arriving() {
+    let mut machines = machines(&[[127, 0, 0, 51], [127, 0, 0, 52], [127, 0, 0, 53]]);
+    machines[0].start(true);
+    let machine = &mut machines[0];
+    machine.status().await;
+    let mut operator = std::net::TcpStream::connect(machine.operator).expect("connects");
+    let head = "PUT /api/configuration HTTP/1.1\r\nHost: h\r\nIf-Match: 0\r\nContent-Length: 8\r\n\r\nhalf";
+    operator.write_all(head.as_bytes()).expect("the node reads");
+
+    machine.stop();
+
+    let mut response = String::new();
+    operator
+        .read_to_string(&mut response)
+        .expect("closed, not reset");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+}
--- a/crates/lockusher-proxy/src/client/connection.rs
+++ b/crates/lockusher-proxy/src/client/connection.rs
@@ -5,15 +5,14 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-use compio::runtime::fd::PollFd;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use lockusher_transport::server::{
-    ConnectionState, RegisteredConnection, RequestInProgress, ServerStream, TrackedBody,
+    AcceptedSocket, ConnectionState, RegisteredConnection, RequestInProgress, ServerStream,
+    TrackedBody,
 };
-use socket2::Socket;
 
 use crate::forward::forward;
 use crate::proxy_state::ProxyState;
@@ -25,7 +24,7 @@
 /// Serves a client until it disconnects, the proxy closes the connection, or the client violates the protocol.
 pub(crate) async fn serve(
     shared: Rc<ProxyState>,
-    socket: PollFd<Socket>,
+    socket: AcceptedSocket,
     registered: RegisteredConnection,
 ) {
     let header_bytes = shared
--- a/crates/lockusher-proxy/src/client/listener.rs
+++ b/crates/lockusher-proxy/src/client/listener.rs
@@ -1,18 +1,14 @@
 //! Accepts clients, and closes idle ones if file descriptors run out.
 
-use std::future::Future;
 use std::io;
 use std::net::SocketAddrV4;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compio::net::TcpListener;
-use compio::runtime::fd::PollFd;
-use futures_util::future::{Either, select};
-use lockusher_transport::server::SWEEP_INTERVAL;
+use lockusher_transport::server::{AcceptedSocket, Acceptor, SWEEP_INTERVAL};
 use lockusher_transport::tcp::wait_for_address;
-use socket2::{Domain, Protocol, SockAddr, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
 use super::connection;
 use crate::descriptors::DescriptorPermit;
@@ -22,9 +18,6 @@
 /// Length of the accept queue; the kernel drops SYNs while it is full.
 const BACKLOG: i32 = 1_024;
 
-/// Delay before the next accept after one that failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Opens a listener; waits for an address that is in use.
 ///
 /// # Errors
@@ -44,65 +37,27 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts clients while descriptors are available, until `stop` completes; then accepts those that the kernel has
-/// connected already, and stops listening. Closing the listener alone would reset them.
-pub(crate) async fn accept_clients(
-    shared: Rc<ProxyState>,
-    listener: TcpListener,
-    stop: impl Future<Output = ()>,
-) {
-    let mut stop = pin!(stop);
-    while let Either::Left((accepted, _)) =
-        select(pin!(accept_next(&shared, &listener)), stop.as_mut()).await
-    {
-        match accepted {
-            Ok(socket) => start_serving(&shared, socket),
-            Err(error) => {
-                log::warn!("cannot accept a client connection: {error}");
-                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+/// Accepts clients while descriptors are available.
+pub(crate) fn accept_clients(shared: &Rc<ProxyState>, listener: TcpListener) -> Acceptor {
+    let (waiting, serving) = (shared.clone(), shared.clone());
+    let has_capacity = async move || {
+        if !waiting.descriptors.has_capacity() {
+            waiting.clients.close_one_idle();
+            waiting.descriptors.capacity_available().await;
         }
-    }
-    if let Err(error) = accept_connected(&shared, &listener) {
-        log::warn!("cannot accept the last client connections: {error}");
-    }
-}
-
-type ClientSocket = PollFd<Socket>;
-
-/// Accepts a client once descriptors are available.
-async fn accept_next(shared: &ProxyState, listener: &TcpListener) -> io::Result<ClientSocket> {
-    if !shared.descriptors.has_capacity() {
-        shared.clients.close_one_idle();
-        shared.descriptors.capacity_available().await;
-    }
-    let (stream, _) = listener.accept().await?;
-    stream.set_nodelay(true)?;
-    stream.into_poll_fd()
+    };
+    let start_serving = move |socket| {
+        let permit = serving.descriptors.acquire();
+        compio::runtime::spawn(serve(serving.clone(), socket, permit)).detach();
+    };
+    Acceptor::start(listener, has_capacity, start_serving)
 }
 
-/// Accepts all clients in the accept queue, without waiting.
-fn accept_connected(shared: &Rc<ProxyState>, listener: &TcpListener) -> io::Result<()> {
-    let listener = SockRef::from(listener);
-    listener.set_nonblocking(true)?;
-    loop {
-        let socket = match listener.accept() {
-            Ok((socket, _)) => socket,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) => return Err(error),
-        };
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        start_serving(shared, PollFd::new(socket)?);
+async fn serve(shared: Rc<ProxyState>, socket: AcceptedSocket, _permit: DescriptorPermit) {
+    if let Err(error) = socket.set_tcp_nodelay(true) {
+        log::debug!("a client has left before it was served: {error}");
+        return;
     }
-}
-
-fn start_serving(shared: &Rc<ProxyState>, socket: ClientSocket) {
-    let permit = shared.descriptors.acquire();
-    compio::runtime::spawn(serve(shared.clone(), socket, permit)).detach();
-}
-
-async fn serve(shared: Rc<ProxyState>, socket: ClientSocket, _permit: DescriptorPermit) {
     let registered = shared.clients.add();
     connection::serve(shared, socket, registered).await;
 }
--- a/crates/lockusher-proxy/src/serve.rs
+++ b/crates/lockusher-proxy/src/serve.rs
@@ -4,14 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::net::TcpListener;
-use compio::runtime::JoinHandle;
-use futures_channel::oneshot;
 use futures_util::{Stream, StreamExt, pin_mut};
 use lockusher_config::settings::NodeSettings;
 use lockusher_distribution::load::ServiceLoad;
 use lockusher_distribution::subscribe::FeedUpdate;
 use lockusher_transport::recurrence::{Recurrence, RecurrenceLog};
+use lockusher_transport::server::Acceptor;
 use lockusher_transport::tcp::unless_stopped;
 
 use crate::client::listener::{accept_clients, listen, sweep};
@@ -71,7 +69,7 @@
         return Ok(());
     };
     let shared = ProxyState::new(&settings, rand::random());
-    let accepting = Accepting::start(&shared, front);
+    let acceptor = accept_clients(&shared, front);
     // Dropping a task's handle cancels the task.
     let _tasks = [
         compio::runtime::spawn(apply_updates(shared.clone(), feed)),
@@ -84,7 +82,7 @@
     let started = Instant::now();
     let schedule = DrainSchedule::new(Duration::from_millis(settings.bounds.grace_ms));
     shared.begin_draining(schedule, started);
-    drain(&shared, schedule, started, accepting).await;
+    drain(&shared, schedule, started, acceptor).await;
     Ok(())
 }
 
@@ -132,15 +130,10 @@
 }
 
 /// Serves on as the schedule of the shutdown says, until all client connections have ended or the time is over.
-async fn drain(
-    shared: &ProxyState,
-    schedule: DrainSchedule,
-    started: Instant,
-    accepting: Accepting,
-) {
+async fn drain(shared: &ProxyState, schedule: DrainSchedule, started: Instant, acceptor: Acceptor) {
     compio::time::sleep_until(started + schedule.stop_reading).await;
     shared.clients.close_all_when_idle();
-    accepting.finish().await;
+    acceptor.finish().await;
     let ended_by = async |at| {
         let ended = compio::time::timeout_at(started + at, shared.clients.all_ended());
         ended.await.is_ok()
@@ -160,30 +153,3 @@
         );
     }
 }
-
-/// The task that accepts clients.
-struct Accepting {
-    task: JoinHandle<()>,
-    stop: oneshot::Sender<()>,
-}
-
-impl Accepting {
-    fn start(shared: &Rc<ProxyState>, listener: TcpListener) -> Self {
-        let (stop, stopped) = oneshot::channel();
-        let stopped = async move {
-            // Fails only if the sender is dropped, which also ends the task.
-            let _ = stopped.await;
-        };
-        let task = compio::runtime::spawn(accept_clients(shared.clone(), listener, stopped));
-        Accepting { task, stop }
-    }
-
-    /// Accepts the clients that are connected already, then closes the listener.
-    async fn finish(self) {
-        // The task ends by itself only after the signal.
-        let _ = self.stop.send(());
-        if self.task.await.is_err() {
-            log::error!("the task that accepts clients has failed");
-        }
-    }
-}
--- a/crates/lockusher-transport/src/http.rs
+++ b/crates/lockusher-transport/src/http.rs
@@ -6,8 +6,10 @@
 
 use std::convert::Infallible;
 use std::error::Error;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::SocketAddrV4;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,14 +22,19 @@
 use hyper::{Method, Request, Response, StatusCode};
 
 use crate::error::{Operation, TransportError};
+use crate::server::{
+    AcceptedSocket, Acceptor, ConnectionRegistry, RequestInProgress, ServerStream, TrackedBody,
+};
 use crate::tcp;
 
 /// Timeout for receiving the head of a request.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of the body of a response that [`get`] and [`exchange`] accept, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-/// Delay after a failed accept, to avoid a busy loop when file descriptors are exhausted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time for the responses to requests that are cut by a shutdown.
+pub const LAST_RESPONSE_TIME: Duration = Duration::from_millis(250);
+/// Content type of the server's own responses.
+const TEXT: &str = "text/plain; charset=utf-8";
 
 /// A body that is sent in one piece, not streamed.
 pub type FullBody = Full<Bytes>;
@@ -96,50 +103,104 @@
     Ok(Answer { status, body })
 }
 
-/// Serves all connections of a listener with `handler`; never returns. A failed connection is logged and closed.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
-where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
-    F: Future<Output = Response<FullBody>> + 'static,
-{
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                compio::runtime::spawn(serve_connection(stream, handler.clone())).detach();
-            }
-            Err(error) => {
-                log::warn!("accept: {error}");
-                compio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+/// A running server; its connections end when the runtime does, or by [`Server::shut_down`].
+#[derive(Debug)]
+pub struct Server {
+    acceptor: Acceptor,
+    connections: Rc<ConnectionRegistry>,
+}
+
+impl Server {
+    /// Serves all connections of a listener with `handler`. A failed connection is logged and closed.
+    pub fn start<H, F>(listener: TcpListener, handler: H) -> Self
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + 'static,
+        F: Future<Output = Response<FullBody>> + 'static,
+    {
+        let connections: Rc<ConnectionRegistry> = Rc::default();
+        let registry = connections.clone();
+        let serve = move |socket| {
+            let serving = serve_connection(registry.clone(), socket, handler.clone());
+            compio::runtime::spawn(serving).detach();
+        };
+        Server {
+            acceptor: Acceptor::start(listener, async || (), serve),
+            connections,
+        }
+    }
+
+    /// Ends all connections between two requests, for `time_limit` at most. Requests that are still in progress by then
+    /// are answered 503, which takes up to [`LAST_RESPONSE_TIME`].
+    pub async fn shut_down(self, time_limit: Duration) {
+        self.connections.close_all_when_idle();
+        self.acceptor.finish().await;
+        if timeout(time_limit, self.connections.all_ended())
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        let left = self.connections.requests_in_progress();
+        log::info!("{left} requests are in progress at the end of the shutdown");
+        self.connections.cut_requests();
+        let ended = timeout(LAST_RESPONSE_TIME, self.connections.all_ended());
+        if ended.await.is_err() {
+            log::debug!("clients are still connected at the end of the shutdown");
         }
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, handler: H)
-where
+async fn serve_connection<H, F>(
+    connections: Rc<ConnectionRegistry>,
+    socket: AcceptedSocket,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<FullBody>> + 'static,
 {
-    if tcp::set_options(&stream).is_err() {
+    if tcp::set_options(&socket).is_err() {
         return;
     }
-    let Ok(stream) = stream.into_poll_fd() else {
-        return;
-    };
-    let service = service_fn(move |request| {
-        let response = handler(request);
+    let registered = connections.add();
+    let stream = ServerStream::new(socket, registered.share());
+    let service = service_fn(|request| {
+        let in_progress = RequestInProgress::begin(registered.share());
+        let response = respond(connections.clone(), in_progress, handler(request));
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let result = hyper::server::conn::http1::Builder::new()
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
         .timer(CompioTimer)
-        .header_read_timeout(REQUEST_HEAD_TIMEOUT)
-        .serve_connection(HyperStream::new_plain(stream), service)
-        .await;
+        .header_read_timeout(REQUEST_HEAD_TIMEOUT);
+    let mut connection = pin!(builder.serve_connection(stream, service));
+    let result = poll_fn(|cx| {
+        registered.set_waker(cx.waker());
+        connection.as_mut().poll(cx)
+    })
+    .await;
     if let Err(error) = result {
         log::debug!("HTTP connection failed: {error}");
     }
 }
 
+/// The handler's response, or 503 if the request is cut before.
+async fn respond(
+    connections: Rc<ConnectionRegistry>,
+    in_progress: RequestInProgress,
+    response: impl Future<Output = Response<FullBody>>,
+) -> Response<TrackedBody<FullBody>> {
+    let response = connections.unless_cut(response).await;
+    let mut response = response
+        .unwrap_or_else(|| answer(StatusCode::SERVICE_UNAVAILABLE, TEXT, "shutting down\n"));
+    if connections.is_closing() {
+        let close = hyper::header::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(hyper::header::CONNECTION, close);
+    }
+    in_progress.respond(response)
+}
+
 /// Reads the body of a request, of at most `max_bytes`.
 ///
 /// # Errors
--- a/crates/lockusher-transport/src/server/mod.rs
+++ b/crates/lockusher-transport/src/server/mod.rs
@@ -11,16 +11,19 @@
 //!
 //! | module | content |
 //! | --- | --- |
+//! | `acceptor` | accepts connections; those that the kernel holds are accepted before the listener is closed |
 //! | `state` | what a connection is doing, and whether it is to be closed |
 //! | `registry` | all connections of a server: closes idle ones, and waits until all have ended |
 //! | `request` | marks a request as in progress until its response's body has ended |
 //! | `stream` | the byte stream that the HTTP library reads from and writes to |
 
+mod acceptor;
 mod registry;
 mod request;
 mod state;
 mod stream;
 
+pub use acceptor::{AcceptedSocket, Acceptor};
 pub use registry::{ConnectionRegistry, RegisteredConnection, SWEEP_INTERVAL};
 pub use request::{RequestInProgress, TrackedBody};
 pub use state::ConnectionState;
--- a/crates/lockusher-transport/src/tcp.rs
+++ b/crates/lockusher-transport/src/tcp.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddrV4;
+use std::os::fd::AsFd;
 use std::pin::{Pin, pin};
 use std::time::Duration;
 
@@ -115,11 +116,12 @@
 /// # Errors
 ///
 /// [`TransportError::Io`] if the operating system refuses an option.
-pub fn set_options(stream: &TcpStream) -> Result<(), TransportError> {
+pub fn set_options(stream: &impl AsFd) -> Result<(), TransportError> {
     try_set_options(stream).map_err(TransportError::io(Operation::SetUp))
 }
 
-fn try_set_options(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))
+fn try_set_options(stream: &impl AsFd) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_DATA_TIMEOUT))
 }
--- a/crates/lockusher-transport/tests/sockets.rs
+++ b/crates/lockusher-transport/tests/sockets.rs
@@ -159,7 +159,7 @@
 fn an_incomplete_body_is_not_reported_as_too_long() {
     run(async {
         let (sender, mut results) = futures_channel::mpsc::unbounded();
-        let address = serve(move |request| {
+        let (_server, address) = serve(move |request| {
             let sender = sender.clone();
             async move {
                 let read = http::read_body(request.into_body(), 100).await;
@@ -204,7 +204,7 @@
 #[test]
 fn a_request_receives_its_response() {
     run(async {
-        let address = serve(|request: Request<_>| async move {
+        let (_server, address) = serve(|request: Request<_>| async move {
             http::answer(
                 StatusCode::OK,
                 "text/plain",
@@ -244,7 +244,7 @@
 )]
 fn a_body_is_read_up_to_the_limit(max_bytes: usize, expected: StatusCode) {
     run(async {
-        let address = serve(move |request: Request<_>| async move {
+        let (_server, address) = serve(move |request: Request<_>| async move {
             match http::read_body(request.into_body(), max_bytes).await {
                 Ok(body) => http::answer(StatusCode::OK, "text/plain", body),
                 Err(_) => http::answer(StatusCode::PAYLOAD_TOO_LARGE, "text/plain", ""),
@@ -289,3 +289,63 @@
         assert_eq!(operation, Operation::Listen);
     });
 }
+
+/// A request whose handler waits for the test.
+struct HeldRequest {
+    response: compio::runtime::JoinHandle<http::Answer>,
+    server: http::Server,
+    release: futures_channel::oneshot::Sender<()>,
+}
+
+async fn held_request() -> HeldRequest {
+    let (release, released) = futures_channel::oneshot::channel();
+    let (arrived, arrival) = futures_channel::oneshot::channel();
+    let once = std::rc::Rc::new(std::cell::RefCell::new(Some((arrived, released))));
+    let (server, address) = serve(move |_: Request<_>| {
+        let (arrived, released) = once.borrow_mut().take().expect("one request");
+        async move {
+            arrived.send(()).expect("the test waits");
+            let _ = released.await;
+            http::answer(StatusCode::OK, "text/plain", "done")
+        }
+    })
+    .await;
+    let response = compio::runtime::spawn(async move {
+        http::get(address, "/", TIME_LIMIT)
+            .await
+            .expect("a response")
+    });
+    arrival.await.expect("the request arrives");
+    HeldRequest {
+        response,
+        server,
+        release,
+    }
+}
+
+#[test]
+fn a_server_that_shuts_down_waits_for_the_request_in_progress() {
+    run(async {
+        let held = held_request().await;
+        let shut_down = compio::runtime::spawn(held.server.shut_down(TIME_LIMIT));
+        held.release.send(()).expect("it waits");
+        let response = held.response.await.expect("no panic");
+        assert_eq!(
+            (response.status, &*response.body),
+            (StatusCode::OK, &b"done"[..])
+        );
+        shut_down.await.expect("no panic");
+    });
+}
+
+// Guards against LOST: a request that can't be finished is answered before the process ends.
+#[test]
+fn a_server_that_shuts_down_answers_the_request_that_cannot_be_finished() {
+    run(async {
+        let held = held_request().await;
+        held.server.shut_down(Duration::ZERO).await;
+        let response = held.response.await.expect("no panic");
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        drop(held.release);
+    });
+}
--- a/crates/lockusher-transport/tests/support/mod.rs
+++ b/crates/lockusher-transport/tests/support/mod.rs
@@ -40,13 +40,12 @@
     (client, server)
 }
 
-/// Serves requests with `handler` until the end of the test; returns the server's address.
-pub async fn serve<H, F>(handler: H) -> SocketAddrV4
+/// Serves requests with `handler`; returns the server and its address.
+pub async fn serve<H, F>(handler: H) -> (http::Server, SocketAddrV4)
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<FullBody>> + 'static,
 {
     let (listener, address) = listener().await;
-    compio::runtime::spawn(http::serve(listener, handler)).detach();
-    address
+    (http::Server::start(listener, handler), address)
 }
