Router test bed: a soak of planned restarts under clients that keep their connections

The soak excludes LOST, as its final outage disconnects everything, and its clients' streams were short.

Change: the command `restarts`. A seed draws the size of the fleet (7 to 11 processes, one run in eight 187) and three to six series of SIGTERM to proxies, agents, control nodes and whole edge machines, SIGHUP, configuration changes and releases of searchers, which overlap; a process that is stopping may get the signal again. Clients use a connection until it is closed: streams of up to 4 s, pauses, fresh connections that rest, heads that are sent in two halves; operators poll every machine on connections that they keep. The executor of the soak got a run without an outage and two disturbances.

--- a/crates/lockusher-router-testbed/src/client.rs
+++ b/crates/lockusher-router-testbed/src/client.rs
@@ -25,6 +25,15 @@
 /// Counter for request ids that are unique per try within the process.
 static NEXT_REQUEST_ID: AtomicU64 = AtomicU64::new(1);
 
+/// A pause of a client while it sends the head of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PauseInHead {
+    /// Bytes that are written before the pause.
+    pub after_bytes: usize,
+    /// Length of the pause.
+    pub length: Duration,
+}
+
 /// A client that may reuse its connections.
 pub struct Client {
     clock: TestClock,
@@ -32,6 +41,8 @@
     max_idle: Option<Duration>,
     /// Whether it ignores `Retry-After`, retrying immediately and more often.
     ignores_backoff: bool,
+    /// A pause in the next request.
+    pause: Option<PauseInHead>,
     idle: HashMap<SocketAddr, (Connection, Instant)>,
 }
 
@@ -42,6 +53,7 @@
             clock,
             max_idle: None,
             ignores_backoff: false,
+            pause: None,
             idle: HashMap::new(),
         }
     }
@@ -72,6 +84,20 @@
         self.idle.keys().next().copied()
     }
 
+    /// Opens a connection for the next request to this mixer; `false` if that fails.
+    pub fn open_connection(&mut self, front: SocketAddr) -> bool {
+        let Ok(connection) = Connection::open(front, CONNECT_TIMEOUT) else {
+            return false;
+        };
+        self.idle.insert(front, (connection, Instant::now()));
+        true
+    }
+
+    /// Pauses in the head of the next request.
+    pub fn pause_in_next_head(&mut self, pause: PauseInHead) {
+        self.pause = Some(pause);
+    }
+
     /// Sends a request, due at `due`, with its retries. `front_for_try` returns the address for a try by its number.
     pub fn request(
         &mut self,
@@ -120,11 +146,21 @@
         let remaining = (started_at + spec.deadline).saturating_duration_since(Instant::now());
         let sent = self.clock.now();
         let mut unsolicited_bytes = false;
+        let mut written = None;
         let outcome = match self.connect(front, client_deadline, &mut unsolicited_bytes) {
             Err(_) => TryOutcome::NoConnection,
             Ok(connection) => {
                 let request = spec.to_request(&request_id, remaining, last_event_id);
-                self.exchange(connection, spec, front, &request, client_deadline)
+                match self.send(connection, &request, client_deadline) {
+                    Err(error) => TryOutcome::Failed {
+                        seen: None,
+                        cause: failure_cause(error),
+                    },
+                    Ok(connection) => {
+                        written = Some(self.clock.now());
+                        self.receive(connection, spec, front, client_deadline)
+                    }
+                }
             }
         };
         TryRecord {
@@ -134,6 +170,7 @@
             front,
             last_event_id,
             sent,
+            written,
             ended: self.clock.now(),
             unsolicited_bytes,
             outcome,
@@ -159,22 +196,38 @@
         Connection::open(front, remaining.min(CONNECT_TIMEOUT))
     }
 
-    /// Sends the request and reads its response.
-    fn exchange(
+    /// Sends the request, with a pause in its head if there is to be one.
+    fn send(
         &mut self,
         mut connection: Connection,
-        spec: &RequestSpec,
-        front: SocketAddr,
         request: &Request,
         client_deadline: Instant,
-    ) -> TryOutcome {
+    ) -> Result<Connection, HttpError> {
         connection.set_deadline(Some(client_deadline));
-        if let Err(error) = connection.write(&request.to_bytes()) {
-            return TryOutcome::Failed {
-                seen: None,
-                cause: failure_cause(error),
-            };
+        let bytes = request.to_bytes();
+        let mut rest = &bytes[..];
+        if let Some(PauseInHead {
+            after_bytes,
+            length,
+        }) = self.pause.take()
+        {
+            let first;
+            (first, rest) = bytes.split_at(after_bytes.min(bytes.len()));
+            connection.write(first)?;
+            std::thread::park_timeout(length);
         }
+        connection.write(rest)?;
+        Ok(connection)
+    }
+
+    /// Reads the response to a request.
+    fn receive(
+        &mut self,
+        mut connection: Connection,
+        spec: &RequestSpec,
+        front: SocketAddr,
+        client_deadline: Instant,
+    ) -> TryOutcome {
         let head = match self.read_head(&mut connection, spec, client_deadline) {
             Ok(head) => head,
             Err(error) => {
--- a/crates/lockusher-router-testbed/src/main.rs
+++ b/crates/lockusher-router-testbed/src/main.rs
@@ -13,6 +13,9 @@
 use lockusher_router_testbed::demo::{DemoError, DemoPlan, Outcome, run_demo};
 use lockusher_router_testbed::report::{PlotError, page};
 use lockusher_router_testbed::run_file::{Run, RunFileError};
+use lockusher_router_testbed::soak::restarts::{
+    RestartSchedule, draw_restarts, run as run_restarts,
+};
 use lockusher_router_testbed::soak::{
     SCENARIOS, Schedule, SoakPlan, draw_schedule, run as run_soak, scenario,
 };
@@ -35,7 +38,7 @@
         value: String,
         expected: &'static str,
     },
-    #[display("unknown command {_0:?}: expected demo, load, soak, report or decisions")]
+    #[display("unknown command {_0:?}: expected demo, load, soak, restarts, report or decisions")]
     #[from(ignore)]
     UnknownCommand(#[error(not(source))] String),
     #[display("{_0}")]
@@ -87,6 +90,7 @@
         Some("demo") => run_demo(&plan(&matches, true, 30)?)?,
         Some("load") => run_demo(&plan(&matches, false, 20)?)?,
         Some("soak") => return soak(&matches),
+        Some("restarts") => return restarts(&matches),
         Some("report") => return report(&matches),
         Some("decisions") => return decisions(&matches),
         other => {
@@ -103,11 +107,13 @@
 }
 
 const USAGE: &str = "\
-Usage: lockusher-router-testbed (demo|load|soak) [options]\n       lockusher-router-testbed report [--page FILE] RUN...\n       lockusher-router-testbed decisions LOG...
+Usage: lockusher-router-testbed (demo|load|soak|restarts) [options]\n       lockusher-router-testbed report [--page FILE] RUN...\n       lockusher-router-testbed decisions LOG...
 
   demo       run a fleet on the loopback under load with a fixed series of disturbances
   load       the same without disturbances, to measure a load at a given rate
   soak       run series of overlapping disturbances, then an outage of every process; keeps the logs of failed runs
+  restarts   run series of planned restarts, signals and configuration changes under clients that keep their
+             connections; the seed also determines the size of the fleet; keeps the logs of failed runs
   decisions  print a table of where sends wait, from proxy logs at level debug
   report     write a page that compares the figures and plots of saved runs
 
@@ -170,7 +176,7 @@
     options.optopt(
         "",
         "runs",
-        "number of soak runs, with consecutive seeds from --seed on (10)",
+        "number of soak or restart runs, with consecutive seeds from --seed on (10)",
         "N",
     );
     options.optopt(
@@ -277,27 +283,44 @@
     let runs: u64 = value(matches, "runs", COUNT, 10)?;
     let jobs: usize = value(matches, "jobs", COUNT, 2)?;
     let schedules = schedules(matches, &plan, demo.seed, runs)?;
+    Ok(run_all(&schedules, jobs, |(name, schedule)| {
+        print_soak_run(&plan, name, schedule)
+    }))
+}
+
+/// Runs restart soaks with consecutive seeds.
+fn restarts(matches: &Matches) -> Result<ExitCode, CommandError> {
+    const COUNT: &str = "a whole number";
+    let base = plan(matches, false, 20)?;
+    let runs: u64 = value(matches, "runs", COUNT, 10)?;
+    let jobs: usize = value(matches, "jobs", COUNT, 2)?;
+    let schedules: Vec<RestartSchedule> =
+        (base.seed..base.seed + runs).map(draw_restarts).collect();
+    Ok(run_all(&schedules, jobs, |schedule| {
+        print_restart_run(&base.world, schedule)
+    }))
+}
+
+/// Runs all items, `jobs` at a time, prints how many haven't passed, and returns the exit code.
+fn run_all<T: Sync>(items: &[T], jobs: usize, run: impl Fn(&T) -> bool + Sync) -> ExitCode {
     let next = AtomicUsize::new(0);
     let failed = AtomicUsize::new(0);
     std::thread::scope(|scope| {
         for _ in 0..jobs {
             scope.spawn(|| {
-                while let Some((name, schedule)) =
-                    schedules.get(next.fetch_add(1, Ordering::SeqCst))
-                {
-                    let passed = print_soak_run(&plan, name, schedule);
-                    failed.fetch_add(usize::from(!passed), Ordering::SeqCst);
+                while let Some(item) = items.get(next.fetch_add(1, Ordering::SeqCst)) {
+                    failed.fetch_add(usize::from(!run(item)), Ordering::SeqCst);
                 }
             });
         }
     });
     let failed = failed.load(Ordering::SeqCst);
-    println!("runs={} bad={failed}", schedules.len());
-    Ok(if failed == 0 {
+    println!("runs={} bad={failed}", items.len());
+    if failed == 0 {
         ExitCode::SUCCESS
     } else {
         ExitCode::from(EXIT_VIOLATION)
-    })
+    }
 }
 
 /// The schedules to run, with their scenario's name, or `drawn` for random ones.
@@ -360,6 +383,32 @@
     result.passed()
 }
 
+/// Runs one restart soak and prints its result in one piece, since several run concurrently.
+fn print_restart_run(base: &WorldPlan, schedule: &RestartSchedule) -> bool {
+    let result = match run_restarts(base, schedule) {
+        Ok(result) => result,
+        Err(error) => {
+            println!("{schedule}\n  not run: {error}");
+            return false;
+        }
+    };
+    let mut text = format!(
+        "{schedule}\n  tries={} served={} to_stopping={} late={} stops={}",
+        result.tries, result.served, result.to_stopping, result.late, result.stops
+    );
+    for violation in &result.violations {
+        text.push_str(&format!("\n  violation: {violation}"));
+    }
+    for failure in &result.failures {
+        text.push_str(&format!("\n  failure: {failure}"));
+    }
+    if let Some(logs) = &result.logs {
+        text.push_str(&format!("\n  logs: {}", logs.display()));
+    }
+    println!("{text}");
+    result.passed()
+}
+
 fn value<T: FromStr>(
     matches: &Matches,
     option: &'static str,
--- a/crates/lockusher-router-testbed/src/request.rs
+++ b/crates/lockusher-router-testbed/src/request.rs
@@ -146,6 +146,8 @@
     pub front: SocketAddr,
     pub last_event_id: Option<u64>,
     pub sent: Micros,
+    /// When the last byte of the request was written; `None` if it wasn't.
+    pub written: Option<Micros>,
     pub ended: Micros,
     /// Whether unsolicited bytes were received on the connection before the request was sent.
     pub unsolicited_bytes: bool,
--- a/crates/lockusher-router-testbed/src/soak/disturbance.rs
+++ b/crates/lockusher-router-testbed/src/soak/disturbance.rs
@@ -14,6 +14,10 @@
     Freeze(Role, usize),
     /// Rolling restart of all processes of a role by SIGTERM, one after the other.
     Roll(Role),
+    /// SIGTERM to one process, which is restarted once it has exited. Sent again if it hasn't exited yet.
+    Terminate(Role, usize),
+    /// SIGTERM to all processes of an edge machine.
+    TerminateEdge(usize),
     /// SIGHUP to every process.
     HangUpAll,
     /// A control node is killed and restarted with an empty disk.
@@ -71,6 +75,8 @@
                 | PartitionCore(_)
                 | HangUpAll
                 | Roll(Role::Agent | Role::Control)
+                | Terminate(Role::Agent | Role::Control, _)
+                | TerminateEdge(_)
         )
     }
 }
--- a/crates/lockusher-router-testbed/src/soak/executor.rs
+++ b/crates/lockusher-router-testbed/src/soak/executor.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::disturbance::Disturbance;
-use super::schedule::Schedule;
+use super::schedule::{Schedule, Step};
 use super::writer::{Command, Writer, WriterResult};
 use super::{POST_RECOVERY_TRAFFIC, SoakError};
 use crate::deployment::request_mix;
@@ -81,6 +81,15 @@
     pub restored_at: Micros,
 }
 
+/// A SIGTERM to a process, on the clock of the requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// The process.
+    pub process: ProcessId,
+    /// When the first signal was sent.
+    pub at: Micros,
+}
+
 /// Executes one soak's schedule.
 pub(super) struct Executor<'a> {
     world: &'a mut World,
@@ -93,6 +102,7 @@
     scheduled_count: u64,
     bursts: Vec<Load>,
     unexpected_exits: Vec<String>,
+    stops: Vec<Stop>,
     /// Instances of departing model searchers, by the number in [`Action::RemoveModel`].
     departing: BTreeMap<u64, String>,
     /// Sockets that occupy ports of the fleet.
@@ -115,6 +125,7 @@
             scheduled_count: 0,
             bursts: Vec::new(),
             unexpected_exits: Vec::new(),
+            stops: Vec::new(),
             departing: BTreeMap::new(),
             occupied_ports: Vec::new(),
         }
@@ -131,6 +142,19 @@
         Ok(times)
     }
 
+    /// Runs steps without a final outage; returns `length` after the start.
+    pub fn run_steps(&mut self, steps: &[Step], length: Duration) -> Result<(), SoakError> {
+        for step in steps {
+            self.schedule_at(step.at, Action::Begin(step.disturbance));
+        }
+        self.run_until(length)
+    }
+
+    /// All SIGTERMs so far.
+    pub fn stops(&self) -> Vec<Stop> {
+        self.stops.clone()
+    }
+
     /// Waits for bursts and configuration changes; returns the bursts' records, the writer's result and the unexpected
     /// process exits.
     pub fn end(self) -> (Vec<RequestRecord>, WriterResult, Vec<String>) {
@@ -222,6 +246,16 @@
                 self.freeze(ProcessId { role, machine });
             }
             Disturbance::Roll(role) => self.roll(ProcessId { role, machine: 0 }),
+            Disturbance::Terminate(role, number) => {
+                let machine = self.machine(role, number);
+                self.terminate(ProcessId { role, machine }, false);
+            }
+            Disturbance::TerminateEdge(number) => {
+                let machine = self.machine(Role::Proxy, number);
+                for role in [Role::Agent, Role::Proxy] {
+                    self.terminate(ProcessId { role, machine }, false);
+                }
+            }
             Disturbance::HangUpAll => self.world.fleet.signal_all(Signal::HangUp),
             Disturbance::LoseDisk(number) => self.lose_disk(number)?,
             Disturbance::ChangeSeeds(choice) => {
--- a/crates/lockusher-router-testbed/src/soak/executor/processes.rs
+++ b/crates/lockusher-router-testbed/src/soak/executor/processes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Action, Executor, OutageTimes};
+use super::{Action, Executor, OutageTimes, Stop};
 use crate::fleet::{ProcessId, Role, Signal};
 use crate::soak::SoakError;
 use crate::soak::schedule::{FinalOutage, OutageKind};
@@ -21,10 +21,7 @@
     /// Restarts processes that have exited unexpectedly, and updates the stages in the instance list.
     pub(super) fn supervise(&mut self) -> Result<(), SoakError> {
         for (process, code) in self.world.fleet.take_exited() {
-            let is_expected = self.schedule.values().any(
-                |action| matches!(action, Action::AwaitExit { process: awaited, .. } if *awaited == process),
-            );
-            if !is_expected {
+            if !self.is_exit_awaited(process) {
                 let at = self.started_at.elapsed().as_secs_f64();
                 self.unexpected_exits
                     .push(format!("{process} exited with code {code} at {at:.2} s"));
@@ -35,6 +32,13 @@
         Ok(())
     }
 
+    /// Whether the process was sent SIGTERM and hasn't been restarted yet.
+    fn is_exit_awaited(&self, process: ProcessId) -> bool {
+        self.schedule.values().any(
+            |action| matches!(action, Action::AwaitExit { process: awaited, .. } if *awaited == process),
+        )
+    }
+
     /// Takes down all processes at once and restarts them after the outage.
     pub(super) fn run_outage(&mut self, outage: FinalOutage) -> Result<OutageTimes, SoakError> {
         self.schedule
@@ -114,11 +118,18 @@
         self.terminate(process, true);
     }
 
-    /// Sends SIGTERM and schedules the check of the exit.
+    /// Sends SIGTERM, and schedules the check of the exit unless an earlier signal has done so.
     pub(super) fn terminate(&mut self, process: ProcessId, rolling: bool) {
+        let at = self.world.clock.now();
         self.world
             .fleet
             .signal(process.role, process.machine, Signal::Terminate);
+        if self.is_exit_awaited(process) {
+            return;
+        }
+        if self.world.fleet.is_running(process) {
+            self.stops.push(Stop { process, at });
+        }
         let kill_at = self.started_at.elapsed() + self.grace;
         self.schedule_after(
             EXIT_POLL_INTERVAL,
@@ -141,6 +152,11 @@
             self.schedule_after(EXIT_POLL_INTERVAL, poll_again);
             return;
         }
+        if is_running {
+            self.unexpected_exits.push(format!(
+                "{process} was killed, running on after the grace period"
+            ));
+        }
         self.world.fleet.kill(process.role, process.machine);
         self.schedule_after(RESTART_DELAY, Action::Start(process));
         let machine = process.machine + 1;
--- a/crates/lockusher-router-testbed/src/soak/mod.rs
+++ b/crates/lockusher-router-testbed/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod disturbance;
 mod executor;
 mod recovery;
+pub mod restarts;
 mod scenario;
 mod schedule;
 mod writer;
@@ -17,6 +18,7 @@
 use derive_more::{Display, Error, From};
 
 pub use disturbance::Disturbance;
+pub use executor::Stop;
 pub use recovery::{Recovery, RecoveryTimes, Served};
 pub use scenario::{SCENARIOS, Scenario, scenario};
 pub use schedule::{FinalOutage, OutageKind, Schedule, Step, draw_schedule};
--- a/crates/lockusher-router-testbed/src/world.rs
+++ b/crates/lockusher-router-testbed/src/world.rs
@@ -156,6 +156,11 @@
         Ok(world)
     }
 
+    /// Time bounds and budgets of the fleet.
+    pub fn bounds(&self) -> &FleetBounds {
+        &self.bounds
+    }
+
     /// The requests that arrived at the searchers.
     pub fn arrival_log(&self) -> &ArrivalLog {
         &self.searchers.arrival_log
--- a/crates/lockusher-router-testbed/tests/checker.rs
+++ b/crates/lockusher-router-testbed/tests/checker.rs
@@ -42,6 +42,7 @@
         front: front(),
         last_event_id: None,
         sent: AFTER_PROPAGATION,
+        written: Some(AFTER_PROPAGATION),
         ended: AFTER_PROPAGATION + SECOND,
         unsolicited_bytes: false,
         outcome,
--- a/crates/lockusher-router-testbed/tests/soak.rs
+++ b/crates/lockusher-router-testbed/tests/soak.rs
@@ -39,6 +39,7 @@
         front: "127.0.0.1:1".parse().expect("an address"),
         last_event_id: None,
         sent: due,
+        written: Some(due),
         ended: due,
         unsolicited_bytes: false,
         outcome: TryOutcome::Complete(seen),
