--- a/crates/lockusher-router-testbed/src/model_http.rs
+++ b/crates/lockusher-router-testbed/src/model_http.rs
@@ -196,7 +196,7 @@
             }
             Output::DeadlineExceeded { .. } => {
                 self.core.arrival_log.update(stream.arrival, |arrival| {
-                    set_broken_off(&mut arrival.outcome)
+                    set_broken_off(&mut arrival.outcome);
                 });
                 Some(Next::Close)
             }
