Proxy: a stream that may be resumed is not bound to the length of its first part

Without any fault a stream with a length was cut if the bytes read last began inside an event.

Cause: Relay::size_hint gave the first searcher's length also where responses may be joined, and complete_events ended the body before what was held back was forwarded.

Change: such a stream has no length of its own, so that it is sent in chunks (HTTP/1.0: up to the end of the connection) and ends when the last searcher's response is complete. A response whose head describes its bytes (encoding, range, digests) is neither resumed nor resumes another one.

--- a/crates/lockusher-proxy/src/headers.rs
+++ b/crates/lockusher-proxy/src/headers.rs
@@ -31,6 +31,16 @@
     header::CONTENT_LENGTH,
 ];
 
+/// Fields that describe the bytes of a body: their values don't hold for another body with the same events.
+const BODY_DESCRIPTIONS: [HeaderName; 6] = [
+    header::CONTENT_ENCODING,
+    header::CONTENT_RANGE,
+    HeaderName::from_static("content-digest"),
+    HeaderName::from_static("repr-digest"),
+    HeaderName::from_static("digest"),
+    HeaderName::from_static("content-md5"),
+];
+
 /// Fields that only proxies may set; they are removed from clients' requests.
 const PROXY_ONLY: [HeaderName; 6] = [
     EXPECTED_INSTANCE,
@@ -67,6 +77,13 @@
     is_chunked && codings.next().is_none() && !response.contains_key(header::CONTENT_LENGTH)
 }
 
+/// Whether a response has fields that describe the bytes of its body, other than their number.
+pub(crate) fn describes_body_bytes(response: &HeaderMap) -> bool {
+    BODY_DESCRIPTIONS
+        .iter()
+        .any(|name| response.contains_key(name))
+}
+
 fn strip_hop_by_hop(headers: &mut HeaderMap) {
     for name in connection_options(headers) {
         headers.remove(name);
--- a/crates/lockusher-proxy/src/relay.rs
+++ b/crates/lockusher-proxy/src/relay.rs
@@ -81,7 +81,9 @@
         accepted: AcceptedResponse,
     ) -> (Response<()>, Self) {
         attempts.extend_to_client_deadline();
-        let resumable = attempts.policy.resumable && is_event_stream(&accepted.exchange.response);
+        let resumable = attempts.policy.resumable
+            && !attempts.request().is_head()
+            && may_be_joined(&accepted.exchange.response);
         let (head, relayed) = RelayedResponse::new(attempts, accepted);
         let splitter = resumable.then(EventSplitter::default);
         (
@@ -94,10 +96,11 @@
         )
     }
 
-    /// The remaining length of the body if the searcher sent a length.
+    /// The remaining length of the body if the searcher sent a length. A stream that may be resumed has none: the response
+    /// that resumes it has a length of its own.
     pub(crate) fn size_hint(&self) -> SizeHint {
         match &self.state {
-            State::Relaying(relayed) => relayed
+            State::Relaying(relayed) if self.splitter.is_none() => relayed
                 .remaining_bytes
                 .map(SizeHint::with_exact)
                 .unwrap_or_default(),
@@ -116,7 +119,11 @@
                     }
                 }
                 State::Relaying(relayed) => match ready!(relayed.poll_chunk(cx)) {
-                    Ok(Some(chunk)) => match self.complete_events(chunk, cx) {
+                    Ok(Some(chunk)) if self.splitter.is_none() => {
+                        self.finish_after_last_byte(cx);
+                        return Poll::Ready(Some(Ok(Frame::data(chunk))));
+                    }
+                    Ok(Some(chunk)) => match self.complete_events(chunk) {
                         Ok(chunk) if chunk.is_empty() => {}
                         Ok(chunk) => return Poll::Ready(Some(Ok(Frame::data(chunk)))),
                         Err(ResponseAborted) => return self.abort(),
@@ -136,18 +143,17 @@
         }
     }
 
-    /// The data to forward after a chunk: the chunk, or only complete events if the stream may be resumed.
-    fn complete_events(
-        &mut self,
-        chunk: Bytes,
-        cx: &mut Context<'_>,
-    ) -> Result<Bytes, ResponseAborted> {
-        if let State::Relaying(relayed) = &mut self.state
+    /// Ends a body of known length after its last byte: the HTTP library doesn't poll it again.
+    fn finish_after_last_byte(&mut self, cx: &mut Context<'_>) {
+        if let State::Relaying(relayed) = &self.state
             && relayed.remaining_bytes == Some(0)
         {
-            // The HTTP library doesn't poll again after the last byte of a body of known length.
             self.finish(cx);
         }
+    }
+
+    /// The complete events to forward after a chunk of a stream that may be resumed.
+    fn complete_events(&mut self, chunk: Bytes) -> Result<Bytes, ResponseAborted> {
         let Some(splitter) = &mut self.splitter else {
             return Ok(chunk);
         };
@@ -221,7 +227,7 @@
         else {
             return false;
         };
-        if !is_event_stream(&accepted.exchange.response) {
+        if !may_be_joined(&accepted.exchange.response) {
             return false;
         }
         let (_, relayed) = RelayedResponse::new(attempts, accepted);
@@ -340,3 +346,9 @@
     let content_type = content_type.map(HeaderValue::as_bytes).unwrap_or_default();
     response.status() == StatusCode::OK && content_type.starts_with(b"text/event-stream")
 }
+
+/// Whether a response can be part of a stream that several searchers send: a stream of events that can be split, without
+/// header fields that describe the bytes of one searcher's response.
+fn may_be_joined(response: &Response<Incoming>) -> bool {
+    is_event_stream(response) && !headers::describes_body_bytes(response.headers())
+}
--- a/crates/lockusher-proxy/tests/support/wire.rs
+++ b/crates/lockusher-proxy/tests/support/wire.rs
@@ -89,6 +89,15 @@
         .await;
     }
 
+    /// Sends the head of a searcher's event stream with a `Content-Length` and further fields.
+    pub async fn send_sized_stream_head(&mut self, identifier: &str, length: usize, fields: &str) {
+        self.write(&format!(
+            "HTTP/1.1 200 OK\r\nRequest-Identifier: {identifier}\r\nServer-Signature: sig\r\n\
+             Content-Type: text/event-stream\r\nContent-Length: {length}\r\n{fields}\r\n"
+        ))
+        .await;
+    }
+
     /// Sends one chunk of a chunked body.
     pub async fn send_chunk(&mut self, data: &str) {
         self.write(&format!("{:x}\r\n{data}\r\n", data.len())).await;
@@ -171,6 +180,18 @@
         data
     }
 
+    /// Reads a chunked body to its end.
+    pub async fn read_chunked_body(&mut self) -> String {
+        let mut body = String::new();
+        loop {
+            let chunk = self.read_chunk().await;
+            if chunk.is_empty() {
+                return body;
+            }
+            body.push_str(&chunk);
+        }
+    }
+
     /// Reads until the peer closes; returns what was received and how the connection ended.
     pub async fn read_to_end(&mut self) -> (String, Ending) {
         let (bytes, ending) = self.read_bytes_to_end().await;
