Router test bed: answers of all sizes and framings, clients on slow links, 267 processes

Change: the identifier of a request determines whether its response has a length or comes in chunks, and its size (restart soak: 10 bytes to 300 KB); events are written in two parts at any byte. One client in four of the restart soak reads at 100 KB/s with small segments and a small buffer; one request in twenty is given up early. Large fleets have 130 edge machines (267 processes, 1.2 GB counted) in place of 90.

--- a/crates/lockusher-router-testbed/src/client.rs
+++ b/crates/lockusher-router-testbed/src/client.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::engine::Micros;
-use crate::http::{Connection, HttpError, Request, ResponseHead};
+use crate::http::{Connection, HttpError, Request, ResponseHead, SlowLink};
 use crate::record::{EventRecord, TestClock, digest};
 use crate::request::{
     FailureCause, ReceivedBody, ReceivedResponse, RequestRecord, RequestSpec, TryOutcome, TryRecord,
@@ -43,6 +43,8 @@
     ignores_backoff: bool,
     /// A pause in the next request.
     pause: Option<PauseInHead>,
+    /// The link over which it connects; `None`: loopback itself.
+    slow_link: Option<SlowLink>,
     idle: HashMap<SocketAddr, (Connection, Instant)>,
 }
 
@@ -54,6 +56,7 @@
             max_idle: None,
             ignores_backoff: false,
             pause: None,
+            slow_link: None,
             idle: HashMap::new(),
         }
     }
@@ -86,13 +89,25 @@
 
     /// Opens a connection for the next request to this mixer; `false` if that fails.
     pub fn open_connection(&mut self, front: SocketAddr) -> bool {
-        let Ok(connection) = Connection::open(front, CONNECT_TIMEOUT) else {
+        let Ok(connection) = self.open(front, CONNECT_TIMEOUT) else {
             return false;
         };
         self.idle.insert(front, (connection, Instant::now()));
         true
     }
 
+    fn open(&self, front: SocketAddr, timeout: Duration) -> Result<Connection, HttpError> {
+        match self.slow_link {
+            Some(link) => Connection::open_over(link, front, timeout),
+            None => Connection::open(front, timeout),
+        }
+    }
+
+    /// Opens connections over a slow link from now on.
+    pub fn use_slow_link(&mut self, link: SlowLink) {
+        self.slow_link = Some(link);
+    }
+
     /// Pauses in the head of the next request.
     pub fn pause_in_next_head(&mut self, pause: PauseInHead) {
         self.pause = Some(pause);
@@ -193,7 +208,7 @@
             }
         }
         let remaining = client_deadline.saturating_duration_since(Instant::now());
-        Connection::open(front, remaining.min(CONNECT_TIMEOUT))
+        self.open(front, remaining.min(CONNECT_TIMEOUT))
     }
 
     /// Sends the request, with a pause in its head if there is to be one.
--- a/crates/lockusher-router-testbed/src/deployment.rs
+++ b/crates/lockusher-router-testbed/src/deployment.rs
@@ -51,7 +51,7 @@
         slots: 6,
         queue_limit: 6,
         work: Duration::from_millis(30),
-        answer_bytes: 800,
+        answer_bytes: 800..=800,
         connection_limit: 96,
         health_path: HEALTH_PATH.to_owned(),
     }
--- a/crates/lockusher-router-testbed/src/http/connection.rs
+++ b/crates/lockusher-router-testbed/src/http/connection.rs
@@ -4,6 +4,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 use super::{Headers, HttpError, Request, Response, ResponseHead, malformed};
 
 /// Maximum size of a message head.
@@ -30,9 +32,23 @@
     Closed,
 }
 
+/// A slow link to a peer, modelled at the receiving end. Over loopback the peer's kernel would take large messages at
+/// once, since it sizes its send buffer by the segments.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlowLink {
+    /// Size of the receive buffer, and of a read at most.
+    pub receive_buffer_bytes: usize,
+    /// Maximum size of a TCP segment.
+    pub segment_bytes: u32,
+    /// Rate at which bytes are read.
+    pub bytes_per_second: u32,
+}
+
 /// One end of a connection.
 pub struct Connection {
     stream: TcpStream,
+    /// `None`: bytes are read as fast as they arrive.
+    slow_link: Option<SlowLink>,
     unread: Vec<u8>,
     framing: Framing,
     deadline: Option<Instant>,
@@ -45,6 +61,7 @@
         let _ = stream.set_nodelay(true);
         Connection {
             stream,
+            slow_link: None,
             unread: Vec::new(),
             framing: Framing::Ended,
             deadline: None,
@@ -57,6 +74,22 @@
         Ok(Connection::new(stream))
     }
 
+    /// Connects over a slow link within `timeout`.
+    pub fn open_over(
+        link: SlowLink,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, HttpError> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_recv_buffer_size(link.receive_buffer_bytes)?;
+        socket.set_tcp_mss(link.segment_bytes)?;
+        socket.connect_timeout(&address.into(), timeout.max(MIN_TIMEOUT))?;
+        Ok(Connection {
+            slow_link: Some(link),
+            ..Connection::new(socket.into())
+        })
+    }
+
     /// Sets the deadline of reads and writes; `None` means no timeout.
     pub fn set_deadline(&mut self, deadline: Option<Instant>) {
         self.deadline = deadline;
@@ -283,9 +316,16 @@
     fn fill(&mut self) -> Result<usize, HttpError> {
         self.stream.set_read_timeout(self.time_left()?)?;
         let mut buffer = [0; READ_BUFFER_BYTES];
-        match self.stream.read(&mut buffer) {
+        let limit = self.slow_link.map_or(buffer.len(), |link| {
+            link.receive_buffer_bytes.min(buffer.len())
+        });
+        match self.stream.read(&mut buffer[..limit]) {
             Ok(size) => {
                 self.unread.extend_from_slice(&buffer[..size]);
+                if let Some(link) = self.slow_link {
+                    let seconds = size as f64 / f64::from(link.bytes_per_second);
+                    std::thread::park_timeout(Duration::from_secs_f64(seconds));
+                }
                 Ok(size)
             }
             Err(error) if is_timeout(&error) => Err(HttpError::TimedOut),
--- a/crates/lockusher-router-testbed/src/http/mod.rs
+++ b/crates/lockusher-router-testbed/src/http/mod.rs
@@ -5,7 +5,7 @@
 
 mod connection;
 
-pub use connection::Connection;
+pub use connection::{Connection, SlowLink};
 use derive_more::{Display, Error, From};
 
 /// Why a message could not be read or written.
@@ -164,7 +164,7 @@
 
     /// Encodes the response with its `Content-Length`.
     pub fn to_bytes(&self) -> Vec<u8> {
-        let mut bytes = self.head_bytes(&format!("Content-Length: {}\r\n", self.body.len()));
+        let mut bytes = self.sized_head(self.body.len());
         bytes.extend_from_slice(&self.body);
         bytes
     }
@@ -174,6 +174,11 @@
         self.head_bytes("Transfer-Encoding: chunked\r\n")
     }
 
+    /// Encodes the head of a response whose body follows with this length.
+    pub fn sized_head(&self, length: usize) -> Vec<u8> {
+        self.head_bytes(&format!("Content-Length: {length}\r\n"))
+    }
+
     fn head_bytes(&self, framing: &str) -> Vec<u8> {
         let mut head = format!(
             "HTTP/1.1 {} {}\r\n",
--- a/crates/lockusher-router-testbed/src/lib.rs
+++ b/crates/lockusher-router-testbed/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod entry;
 pub mod figures;
 pub mod fleet;
+pub mod framing;
 pub mod http;
 pub mod kv_network;
 pub mod link;
--- a/crates/lockusher-router-testbed/src/model_http.rs
+++ b/crates/lockusher-router-testbed/src/model_http.rs
@@ -10,7 +10,8 @@
     JobKey, MICROS_PER_MS, Micros, NO_DEADLINE, OrderResponse, Output, Part, Rejection, Stage,
     Submission,
 };
-use crate::http::{Connection, HttpError, LAST_CHUNK, Request, Response, chunk};
+use crate::framing::BodyFraming;
+use crate::http::{Connection, HttpError, Request, Response};
 use crate::model_searcher::ModelCore;
 use crate::record::{ArrivalKey, ArrivalOutcome, EventRecord, Run, RunBody, digest};
 use crate::searcher::{
@@ -40,6 +41,7 @@
     /// Number of the last token sent.
     tokens_sent: u64,
     events_sent: usize,
+    framing: BodyFraming,
     fault: Option<Fault>,
 }
 
@@ -114,6 +116,7 @@
                     tokens_out,
                     tokens_sent,
                     events_sent: 0,
+                    framing: BodyFraming::for_request(request_id),
                     fault,
                 };
                 self.stream_outputs(connection, job, &outputs, stream)
@@ -294,10 +297,24 @@
             .header("Server-Signature", stream.signature.as_str())
             .header("Versions", "1")
             .header("Content-Type", "text/event-stream");
-        if self.core.draining.load(Ordering::SeqCst) {
-            return head.header("Connection", "close").chunked_head();
+        let head = if self.core.draining.load(Ordering::SeqCst) {
+            head.header("Connection", "close")
+        } else {
+            head
+        };
+        stream.framing.head(&head, self.stream_length(stream))
+    }
+
+    /// The length of a stream that has not begun.
+    fn stream_length(&self, stream: &Stream<'_>) -> usize {
+        let mut previous = stream.tokens_sent;
+        let mut length = 0;
+        for id in event_ids(previous, stream.tokens_out, self.core.parameters.stride) {
+            let tokens = EventTokens { previous, id };
+            length += format_event(stream, tokens, &self.core.identity.instance).len();
+            previous = id;
         }
-        head.chunked_head()
+        length
     }
 
     fn send_event(
@@ -307,7 +324,11 @@
         at: Micros,
         stream: &mut Stream<'_>,
     ) -> Option<Next> {
-        let text = format_event(stream, tokens_generated, &self.core.identity.instance);
+        let tokens = EventTokens {
+            previous: stream.tokens_sent,
+            id: tokens_generated,
+        };
+        let text = format_event(stream, tokens, &self.core.identity.instance);
         let event = EventRecord {
             id: tokens_generated,
             digest: digest(text.as_bytes()),
@@ -322,17 +343,21 @@
             })
         {
             // The reset follows whether or not these bytes are sent.
-            let _ = connection.write(&chunk(&text.as_bytes()[..text.len() / 2]));
+            let _ = connection.write(&stream.framing.part(&text.as_bytes()[..text.len() / 2]));
             return Some(Next::Reset);
         }
-        let sent: Result<(), HttpError> = connection.write(&chunk(text.as_bytes()));
+        let sent = write_in_two(
+            connection,
+            &stream.framing.part(text.as_bytes()),
+            event.digest,
+        );
         stream.events_sent += 1;
         stream.tokens_sent = tokens_generated;
         sent.is_err().then_some(Next::Close)
     }
 
     fn end_stream(&self, connection: &mut Connection, stream: &Stream<'_>) -> Next {
-        let mut bytes = LAST_CHUNK.to_vec();
+        let mut bytes = stream.framing.end().to_vec();
         if stream.fault == Some(Fault::ExtraBytes) {
             bytes.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore");
         }
@@ -432,11 +457,31 @@
     }
 }
 
-fn format_event(stream: &Stream<'_>, tokens_generated: u64, instance: &str) -> String {
-    let (request_id, previous, total) = (stream.request_id, stream.tokens_sent, stream.tokens_out);
-    format!(
-        "id: {tokens_generated}\ndata: {request_id} {previous} {tokens_generated} {total} {instance}\n\n"
-    )
+/// The tokens of one event.
+struct EventTokens {
+    /// The last token before the event.
+    previous: u64,
+    /// The last token of the event, which is its id.
+    id: u64,
+}
+
+fn format_event(stream: &Stream<'_>, tokens: EventTokens, instance: &str) -> String {
+    let EventTokens { previous, id } = tokens;
+    let (request_id, total) = (stream.request_id, stream.tokens_out);
+    format!("id: {id}\ndata: {request_id} {previous} {id} {total} {instance}\n\n")
+}
+
+/// The ids of the events of a stream that begins after the token `sent`.
+fn event_ids(sent: u64, tokens_out: u64, stride: u64) -> impl Iterator<Item = u64> {
+    let next = move |id: &u64| (*id < tokens_out).then(|| (id + stride).min(tokens_out));
+    std::iter::successors(Some(sent + 1), next)
+}
+
+/// Writes bytes in two parts, so that the receiver may see the first one alone; `draw` determines where they are parted.
+fn write_in_two(connection: &mut Connection, bytes: &[u8], draw: u64) -> Result<(), HttpError> {
+    let (first, rest) = bytes.split_at((draw % bytes.len() as u64) as usize);
+    connection.write(first)?;
+    connection.write(rest)
 }
 
 fn record_event(outcome: &mut ArrivalOutcome, event: EventRecord) {
--- a/crates/lockusher-router-testbed/src/plain_searcher.rs
+++ b/crates/lockusher-router-testbed/src/plain_searcher.rs
@@ -1,12 +1,14 @@
 //! A searcher of a plain service: slots, a queue and a fixed service time.
 
 use std::net::{SocketAddr, TcpListener};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
+use crate::framing::{BodyFraming, body_size};
 use crate::http::{Connection, Request, Response};
 use crate::record::{ArrivalKey, ArrivalLog, ArrivalOutcome, Run, RunBody, TestClock, digest};
 use crate::searcher::{
@@ -24,8 +26,8 @@
     pub queue_limit: usize,
     /// Service time of a request.
     pub work: Duration,
-    /// Size of a response body.
-    pub answer_bytes: usize,
+    /// Sizes of response bodies.
+    pub answer_bytes: RangeInclusive<usize>,
     pub connection_limit: usize,
     /// Path of the health check.
     pub health_path: String,
@@ -204,7 +206,8 @@
         deadline: Option<Instant>,
         fault: Option<Fault>,
     ) -> Next {
-        let body = response_body(request_id, self.parameters.answer_bytes);
+        let size = body_size(request_id, &self.parameters.answer_bytes);
+        let body = response_body(request_id, size);
         let run = self.new_run(&body, fault.is_some());
         let signature = run.signature.clone();
         self.arrival_log
@@ -233,7 +236,8 @@
             .header("Request-Identifier", answered_id)
             .header("Server-Signature", signature)
             .body(body);
-        let next = self.send_with_fault(connection, response, fault);
+        let framing = BodyFraming::for_request(request_id);
+        let next = self.send_with_fault(connection, response, framing, fault);
         self.arrival_log
             .update(arrival, |arrival| set_complete(&mut arrival.outcome, next));
         next
@@ -292,13 +296,14 @@
     }
 
     fn send(&self, connection: &mut Connection, response: Response) -> Next {
-        self.send_with_fault(connection, response, None)
+        self.send_with_fault(connection, response, BodyFraming::Length, None)
     }
 
     fn send_with_fault(
         &self,
         connection: &mut Connection,
         response: Response,
+        framing: BodyFraming,
         fault: Option<Fault>,
     ) -> Next {
         let is_draining = self.draining.load(Ordering::SeqCst);
@@ -307,7 +312,7 @@
         } else {
             response
         };
-        let mut bytes = response.to_bytes();
+        let mut bytes = framing.encode(&response);
         if let Some(Fault::ResetMidEvent { .. }) = fault {
             bytes.truncate(bytes.len() - response.body.len() / 2 - 1);
         }
--- a/crates/lockusher-router-testbed/src/soak/restarts/clients.rs
+++ b/crates/lockusher-router-testbed/src/soak/restarts/clients.rs
@@ -14,6 +14,7 @@
 use crate::deployment::spec_for;
 use crate::engine::Part;
 use crate::entry::ConnectionBalancer;
+use crate::http::SlowLink;
 use crate::record::TestClock;
 use crate::request::{RequestSpec, TryRecord};
 use crate::world::World;
@@ -37,6 +38,19 @@
 const PAUSE_IN_HEAD_MS: std::ops::Range<u64> = 20..2_300;
 /// The pause is within this many bytes of the head.
 const PAUSE_WITHIN_BYTES: std::ops::Range<usize> = 1..120;
+/// The link of slow clients, on which the largest answer takes three seconds. With small segments the kernel at the other
+/// end holds only a part of it.
+const SLOW_LINK: SlowLink = SlowLink {
+    receive_buffer_bytes: 8 * 1_024,
+    segment_bytes: 536,
+    bytes_per_second: 100_000,
+};
+/// One client in this many is on a slow link.
+const SLOW_ONE_IN: usize = 4;
+/// Share of the requests whose client disconnects before the response is complete.
+const DISCONNECTING_SHARE: f64 = 0.05;
+/// When such a client disconnects.
+const DISCONNECTS_AFTER_MS: std::ops::Range<u64> = 10..2_000;
 /// Pause after a connection that couldn't be opened.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 
@@ -52,8 +66,12 @@
         let routes = world.configuration.routes.iter();
         let specs: Arc<[RequestSpec]> = routes.map(spec_for).collect();
         let start = |number: usize| {
+            let mut client = Client::keeping_connections(world.clock, MAX_IDLE);
+            if number.is_multiple_of(SLOW_ONE_IN) {
+                client.use_slow_link(SLOW_LINK);
+            }
             let client = KeepingClient {
-                client: Client::keeping_connections(world.clock, MAX_IDLE),
+                client,
                 clock: world.clock,
                 balancer: Arc::clone(&world.balancer),
                 specs: Arc::clone(&specs),
@@ -126,6 +144,10 @@
     fn draw_request(&mut self) -> RequestSpec {
         let number = self.rng.random_range(0..self.specs.len());
         let mut spec = self.specs[number].clone();
+        if self.rng.random_bool(DISCONNECTING_SHARE) {
+            let after_ms = self.rng.random_range(DISCONNECTS_AFTER_MS);
+            spec.disconnects_after = Some(Duration::from_millis(after_ms));
+        }
         if !spec.streaming {
             return spec;
         }
--- a/crates/lockusher-router-testbed/src/soak/restarts/schedule.rs
+++ b/crates/lockusher-router-testbed/src/soak/restarts/schedule.rs
@@ -14,7 +14,7 @@
 /// One run in this many has a large fleet.
 const LARGE_ONE_IN: u64 = 8;
 /// Edge machines of a large fleet, each with two processes.
-const LARGE_EDGES: usize = 90;
+const LARGE_EDGES: usize = 130;
 /// Control nodes of a large fleet.
 const LARGE_CORES: usize = 7;
 /// Edge machines of other fleets.
@@ -27,6 +27,8 @@
 /// Searchers of each kind, in a large fleet and in others.
 const LARGE_SEARCHERS: usize = 6;
 const SEARCHERS: usize = 3;
+/// Sizes of the plain searchers' answers, in bytes.
+const ANSWER_BYTES: std::ops::RangeInclusive<usize> = 10..=300_000;
 /// `timeoutMs` of all routes; longer than clients wait, so that no route ends a stream.
 const ROUTE_TIMEOUT_MS: u64 = 8_000;
 /// Number of series.
@@ -71,6 +73,7 @@
             prefill_searchers: self.searchers,
             decode_searchers: self.searchers,
             plain_searchers: self.searchers,
+            answer_bytes: ANSWER_BYTES,
             ..base.clone()
         }
     }
--- a/crates/lockusher-router-testbed/src/world.rs
+++ b/crates/lockusher-router-testbed/src/world.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +22,7 @@
 use crate::load::{Load, LoadPlan};
 use crate::model_searcher::ModelSearcher;
 use crate::operator::{ChangeOutcome, Operator};
-use crate::plain_searcher::PlainSearcher;
+use crate::plain_searcher::{PlainParameters, PlainSearcher};
 use crate::platform::{Platform, PlatformParameters};
 use crate::record::{ArrivalLog, TestClock};
 use crate::request::RequestRecord;
@@ -73,6 +74,8 @@
     pub bounds: FleetBounds,
     /// The configuration with which the fleet starts.
     pub first_configuration: Configuration,
+    /// Sizes of the plain searchers' answers, in bytes.
+    pub answer_bytes: RangeInclusive<usize>,
     /// The `lockusher-node` program; `None`: the one built from this workspace.
     pub program: Option<PathBuf>,
 }
@@ -88,6 +91,7 @@
             cloud_lag_ms: 300,
             bounds: FleetBounds::default(),
             first_configuration: first_configuration(),
+            answer_bytes: plain_parameters().answer_bytes,
             program: None,
         }
     }
@@ -315,7 +319,7 @@
         }
         let mut plains = Vec::new();
         for (address, zone) in addresses.take(plan.plain_searchers) {
-            plains.push(self.start_plain(address, zone)?);
+            plains.push(self.start_plain(address, zone, plan.answer_bytes.clone())?);
         }
         Ok((models, plains))
     }
@@ -338,11 +342,19 @@
         )
     }
 
-    fn start_plain(&mut self, address: SocketAddr, zone: &str) -> std::io::Result<PlainSearcher> {
+    fn start_plain(
+        &mut self,
+        address: SocketAddr,
+        zone: &str,
+        answer_bytes: RangeInclusive<usize>,
+    ) -> std::io::Result<PlainSearcher> {
         let identity = self.new_identity(PLAIN_SERVICE, address, zone);
         PlainSearcher::start(
             identity,
-            plain_parameters(),
+            PlainParameters {
+                answer_bytes,
+                ..plain_parameters()
+            },
             self.clock,
             self.arrival_log.clone(),
         )
--- a/crates/lockusher-router-testbed/tests/bench/mod.rs
+++ b/crates/lockusher-router-testbed/tests/bench/mod.rs
@@ -161,7 +161,7 @@
         slots: 4,
         queue_limit: 4,
         work: Duration::from_millis(5),
-        answer_bytes: 800,
+        answer_bytes: 800..=800,
         connection_limit: 50,
         health_path: "/health".to_owned(),
     }
--- a/crates/lockusher-router-testbed/tests/stand_ins.rs
+++ b/crates/lockusher-router-testbed/tests/stand_ins.rs
@@ -32,6 +32,19 @@
     assert!(verdict.is_clean(), "{:?}", verdict.violations);
 }
 
+/// Streams of all framings announce the length that they have.
+#[test]
+fn streams_arrive_completely_whatever_their_framing() {
+    let bench = Bench::start();
+    for tokens in [1, 2, 10, 11, 12, 25] {
+        for _ in 0..4 {
+            let record = bench.request(bench.decode.address(), model_spec(tokens));
+            assert!(record.is_served(), "{record:?}");
+            assert_eq!(record.tries[0].last_event(), Some(tokens));
+        }
+    }
+}
+
 #[test]
 fn a_plain_response_arrives_completely() {
     let bench = Bench::start();
