--- a/crates/lockusher-router-testbed/src/model_http.rs
+++ b/crates/lockusher-router-testbed/src/model_http.rs
@@ -6,10 +6,8 @@
 
 use serde_json::{Value, json};
 
-use crate::engine::{
-    JobKey, MICROS_PER_MS, Micros, NO_DEADLINE, OrderResponse, Output, Part, Rejection, Stage,
-    Submission,
-};
+use crate::engine::{JobKey, Micros, OrderResponse, Output, Rejection, Stage, Submission};
+use crate::event_stream::EventStream;
 use crate::framing::BodyFraming;
 use crate::http::{Connection, HttpError, Request, Response};
 use crate::model_searcher::ModelCore;
@@ -19,9 +17,8 @@
     new_arrival, not_executed,
 };
 use crate::server::{Handler, Next, lock};
+use crate::submission::parse_submission;
 
-/// Priority of a request without a `Priority` header.
-const DEFAULT_PRIORITY: u8 = 5;
 /// Path prefix under which held prompts are deleted.
 const HANDLE_PREFIX: &str = "/api/kv-handle/";
 
@@ -32,19 +29,6 @@
     highest_fence: Mutex<u64>,
 }
 
-/// The state of a response stream.
-struct Stream<'a> {
-    request_id: &'a str,
-    arrival: ArrivalKey,
-    signature: String,
-    tokens_out: u64,
-    /// Number of the last token sent.
-    tokens_sent: u64,
-    events_sent: usize,
-    framing: BodyFraming,
-    fault: Option<Fault>,
-}
-
 impl Handler for ModelHandler {
     fn handle(&self, request: Request, connection: &mut Connection) -> Next {
         let is_healthy = !self.core.draining.load(Ordering::SeqCst);
@@ -109,7 +93,7 @@
             Err(reason) => self.reject(connection, arrival, rejection_response(reason, request_id)),
             Ok((job, outputs)) => {
                 let signature = self.core.new_signature();
-                let stream = Stream {
+                let stream = EventStream {
                     request_id,
                     arrival,
                     signature,
@@ -154,7 +138,7 @@
         connection: &mut Connection,
         job: JobKey,
         outputs: &Receiver<Output>,
-        mut stream: Stream<'_>,
+        mut stream: EventStream<'_>,
     ) -> Next {
         loop {
             let output = match outputs.recv_timeout(DISCONNECT_POLL_INTERVAL) {
@@ -177,7 +161,7 @@
         &self,
         connection: &mut Connection,
         output: Output,
-        stream: &mut Stream<'_>,
+        stream: &mut EventStream<'_>,
     ) -> Option<Next> {
         match output {
             Output::Preempted { .. } => None,
@@ -217,7 +201,7 @@
         connection: &mut Connection,
         handle: String,
         tokens: u64,
-        stream: &Stream<'_>,
+        stream: &EventStream<'_>,
     ) -> Next {
         match stream.fault {
             Some(Fault::ResetBeforeFirstEvent | Fault::ResetMidEvent { .. }) => return Next::Reset,
@@ -247,7 +231,7 @@
         connection: &mut Connection,
         tokens_generated: u64,
         at: Micros,
-        stream: &mut Stream<'_>,
+        stream: &mut EventStream<'_>,
     ) -> Option<Next> {
         let is_first = stream.events_sent == 0;
         if is_first {
@@ -272,7 +256,7 @@
         self.send_event(connection, tokens_generated, at, stream)
     }
 
-    fn begin_run(&self, stream: &Stream<'_>, at: Micros) {
+    fn begin_run(&self, stream: &EventStream<'_>, at: Micros) {
         let run = Run {
             started_at: at,
             signature: stream.signature.clone(),
@@ -286,7 +270,7 @@
             .set_outcome(stream.arrival, ArrivalOutcome::Ran(run));
     }
 
-    fn stream_head(&self, stream: &Stream<'_>) -> Vec<u8> {
+    fn stream_head(&self, stream: &EventStream<'_>) -> Vec<u8> {
         let answered_id = if stream.fault == Some(Fault::WrongIdentifier) {
             "another"
         } else {
@@ -302,19 +286,8 @@
         } else {
             head
         };
-        stream.framing.head(&head, self.stream_length(stream))
-    }
-
-    /// The length of a stream that has not begun.
-    fn stream_length(&self, stream: &Stream<'_>) -> usize {
-        let mut previous = stream.tokens_sent;
-        let mut length = 0;
-        for id in event_ids(previous, stream.tokens_out, self.core.parameters.stride) {
-            let tokens = EventTokens { previous, id };
-            length += format_event(stream, tokens, &self.core.identity.instance).len();
-            previous = id;
-        }
-        length
+        let length = stream.total_length(self.core.parameters.stride, &self.core.identity.instance);
+        stream.framing.head(&head, length)
     }
 
     fn send_event(
@@ -322,13 +295,9 @@
         connection: &mut Connection,
         tokens_generated: u64,
         at: Micros,
-        stream: &mut Stream<'_>,
+        stream: &mut EventStream<'_>,
     ) -> Option<Next> {
-        let tokens = EventTokens {
-            previous: stream.tokens_sent,
-            id: tokens_generated,
-        };
-        let text = format_event(stream, tokens, &self.core.identity.instance);
+        let text = stream.next_event(tokens_generated, &self.core.identity.instance);
         let event = EventRecord {
             id: tokens_generated,
             digest: digest(text.as_bytes()),
@@ -356,7 +325,7 @@
         sent.is_err().then_some(Next::Close)
     }
 
-    fn end_stream(&self, connection: &mut Connection, stream: &Stream<'_>) -> Next {
+    fn end_stream(&self, connection: &mut Connection, stream: &EventStream<'_>) -> Next {
         let mut bytes = stream.framing.end().to_vec();
         if stream.fault == Some(Fault::ExtraBytes) {
             bytes.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore");
@@ -457,26 +426,6 @@
     }
 }
 
-/// The tokens of one event.
-struct EventTokens {
-    /// The last token before the event.
-    previous: u64,
-    /// The last token of the event, which is its id.
-    id: u64,
-}
-
-fn format_event(stream: &Stream<'_>, tokens: EventTokens, instance: &str) -> String {
-    let EventTokens { previous, id } = tokens;
-    let (request_id, total) = (stream.request_id, stream.tokens_out);
-    format!("id: {id}\ndata: {request_id} {previous} {id} {total} {instance}\n\n")
-}
-
-/// The ids of the events of a stream that begins after the token `sent`.
-fn event_ids(sent: u64, tokens_out: u64, stride: u64) -> impl Iterator<Item = u64> {
-    let next = move |id: &u64| (*id < tokens_out).then(|| (id + stride).min(tokens_out));
-    std::iter::successors(Some(sent + 1), next)
-}
-
 /// Writes bytes in two parts, so that the receiver may see the first one alone; `draw` determines where they are parted.
 fn write_in_two(connection: &mut Connection, bytes: &[u8], draw: u64) -> Result<(), HttpError> {
     let (first, rest) = bytes.split_at((draw % bytes.len() as u64) as usize);
@@ -516,64 +465,3 @@
         }
     }
 }
-
-/// Parses the headers of a request into a submission to the engine.
-fn parse_submission(request: &Request, now: Micros) -> Submission {
-    let headers = &request.headers;
-    let (tokens_in, tokens_out) =
-        parse_token_counts(headers.get("Token-Counts").unwrap_or_default());
-    let request_id = headers.get("Request-Identifier").unwrap_or_default();
-    let remaining = headers.number("Deadline-Remaining");
-    Submission {
-        prefill_only: headers.get("Stage") == Some("prefill"),
-        prompt: parse_prompt(
-            headers.get("Prompt-Prefix").unwrap_or_default(),
-            tokens_in,
-            request_id,
-        ),
-        tokens_out,
-        tokens_already_generated: headers
-            .number("Last-Event-Id")
-            .unwrap_or(0)
-            .min(tokens_out - 1),
-        priority: headers
-            .number("Priority")
-            .and_then(|value| u8::try_from(value).ok())
-            .unwrap_or(DEFAULT_PRIORITY),
-        deadline: remaining.map_or(NO_DEADLINE, |milliseconds| {
-            now + milliseconds * MICROS_PER_MS
-        }),
-        transfer: None,
-    }
-}
-
-/// Parses the number of prompt tokens and of tokens to generate, of which there is at least one.
-fn parse_token_counts(text: &str) -> (u64, u64) {
-    let mut counts = text
-        .split(',')
-        .map(|count| count.trim().parse().unwrap_or(0));
-    let tokens_in = counts.next().unwrap_or(0);
-    (tokens_in, counts.next().unwrap_or(0).max(1))
-}
-
-/// Parses the parts of a prompt; tokens that no part covers become a part private to the request.
-fn parse_prompt(prefix: &str, tokens_in: u64, request_id: &str) -> Vec<Part> {
-    let mut prompt: Vec<Part> = prefix.split(',').filter_map(parse_part).collect();
-    let named_tokens: u64 = prompt.iter().map(|part| part.tokens).sum();
-    if tokens_in > named_tokens {
-        prompt.push(Part {
-            id: digest(request_id.as_bytes()),
-            tokens: tokens_in - named_tokens,
-        });
-    }
-    prompt
-}
-
-/// Parses `ID:TOKENS` with a hexadecimal id.
-fn parse_part(text: &str) -> Option<Part> {
-    let (id, tokens) = text.trim().split_once(':')?;
-    Some(Part {
-        id: u64::from_str_radix(id, 16).ok()?,
-        tokens: tokens.parse().ok()?,
-    })
-}
