--- a/crates/lockusher-proxy/tests/stopping.rs
+++ b/crates/lockusher-proxy/tests/stopping.rs
@@ -6,7 +6,7 @@
 use std::pin::pin;
 
 use futures_util::future::{Either, select};
-use support::{Connection, Ending, HOST, ONCE, Proxy, STREAM, Searcher, run};
+use support::{Connection, Ending, HOST, Head, ONCE, Proxy, STREAM, Searcher, run};
 
 #[test]
 fn an_idle_proxy_ends_after_the_readiness_detection_time() {
@@ -245,6 +245,17 @@
     });
 }
 
+/// The head of the response that a client receives before the proxy has shut down.
+async fn response_before_exit(client: &mut Connection, proxy: Proxy) -> Head {
+    let response = pin!(client.read_message());
+    let exit = pin!(proxy.wait_for_exit());
+    let Either::Left(((response, _), exit)) = select(response, exit).await else {
+        panic!("the proxy ends before it answers");
+    };
+    exit.await.expect("a graceful shutdown");
+    response
+}
+
 // Guards against LOST: a request in progress at the end of the grace period was cut without an answer, though the searcher
 // had not begun to respond.
 #[test]
@@ -257,14 +268,9 @@
         let mut connection = searcher.accept().await;
         connection.read_message().await;
         proxy.stop();
-        let response = pin!(client.read_message());
-        let exit = pin!(proxy.wait_for_exit());
-        let Either::Left(((response, _), exit)) = select(response, exit).await else {
-            panic!("the proxy ends before it answers");
-        };
+        let response = response_before_exit(&mut client, proxy).await;
         assert_eq!(response.status(), 504);
         assert_eq!(response.field("connection"), Some("close"));
-        exit.await.expect("a graceful shutdown");
     });
 }
 
@@ -280,13 +286,8 @@
             ))
             .await;
         proxy.stop();
-        let response = pin!(client.read_message());
-        let exit = pin!(proxy.wait_for_exit());
-        let Either::Left(((response, _), exit)) = select(response, exit).await else {
-            panic!("the proxy ends before it answers");
-        };
+        let response = response_before_exit(&mut client, proxy).await;
         assert_eq!(response.status(), 503);
-        exit.await.expect("a graceful shutdown");
     });
 }
 
