Router test bed: a process that is down is not expected to exit again

Trace: the second SIGTERM of a series fell on the 300 ms between the agent's exit and its restart. Nothing received it, but the exit of the process started then was awaited, and it was killed 8 s later, as its log and the count of stops (5, not 6) show. Not a fault of the product.

Change: only a running process is expected to exit.

--- a/crates/lockusher-router-testbed/src/soak/executor/processes.rs
+++ b/crates/lockusher-router-testbed/src/soak/executor/processes.rs
@@ -127,9 +127,12 @@
         if self.is_exit_awaited(process) {
             return;
         }
-        if self.world.fleet.is_running(process) {
-            self.stops.push(Stop { process, at });
+        if !self.world.fleet.is_running(process) {
+            // It is restarted already. The exit of its next incarnation isn't to be awaited.
+            self.continue_roll(process, rolling);
+            return;
         }
+        self.stops.push(Stop { process, at });
         let kill_at = self.started_at.elapsed() + self.grace;
         self.schedule_after(
             EXIT_POLL_INTERVAL,
@@ -159,6 +162,11 @@
         }
         self.world.fleet.kill(process.role, process.machine);
         self.schedule_after(RESTART_DELAY, Action::Start(process));
+        self.continue_roll(process, rolling);
+    }
+
+    /// Goes on with the next process of a rolling restart.
+    fn continue_roll(&mut self, process: ProcessId, rolling: bool) {
         let machine = process.machine + 1;
         if rolling && machine < self.machines(process.role) {
             self.roll(ProcessId { machine, ..process });
--- a/crates/lockusher-router-testbed/tests/restarts.rs
+++ b/crates/lockusher-router-testbed/tests/restarts.rs
@@ -5,14 +5,14 @@
 
 use lockusher_router_testbed::deployment::{first_configuration, spec_for};
 use lockusher_router_testbed::engine::Micros;
-use lockusher_router_testbed::fleet::FleetBounds;
+use lockusher_router_testbed::fleet::{FleetBounds, Role};
 use lockusher_router_testbed::record::{Arrival, ArrivalOutcome, Run, RunBody};
 use lockusher_router_testbed::request::{
     FailureCause, ReceivedBody, ReceivedResponse, TryOutcome, TryRecord,
 };
-use lockusher_router_testbed::soak::Disturbance;
 use lockusher_router_testbed::soak::restarts::lost::{LostBounds, SettledRequest, check};
-use lockusher_router_testbed::soak::restarts::{draw_restarts, run};
+use lockusher_router_testbed::soak::restarts::{RestartSchedule, draw_restarts, run};
+use lockusher_router_testbed::soak::{Disturbance, Step};
 use lockusher_router_testbed::world::WorldPlan;
 use yare::parameterized;
 
@@ -182,6 +182,22 @@
     assert!(overlapping.count() > 150);
 }
 
+/// Guards against a false alarm: the second signal finds no process, and its next incarnation must not be expected to exit.
+#[test]
+fn a_process_that_is_down_is_not_expected_to_exit_again() {
+    let stop = |milliseconds| Step {
+        at: Duration::from_millis(milliseconds),
+        disturbance: Disturbance::Terminate(Role::Agent, 0),
+    };
+    let schedule = RestartSchedule {
+        steps: vec![stop(1_000), stop(1_330)],
+        ..draw_restarts(4)
+    };
+    let result = run(&WorldPlan::default(), &schedule).expect("the fleet starts");
+    assert!(result.passed(), "{:#?}", result.failures);
+    assert_eq!(result.stops, 1);
+}
+
 /// Guards against LOST and against all other rules while planned work is going on. The first seed finds the connections
 /// that stay open after a stream (review/4) on the build before its mend.
 #[test]
